--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cottonroad/gateway.hpp"
@@ -253,6 +254,18 @@
     }
   }
 
+  // For the log: customers with a total of late, and how the counter's calls went since last asked.
+  std::string state(Micros now) {
+    const auto known = std::count_if(customers_.begin(), customers_.end(), [now](const auto& e) {
+      return e.second.read_at > 0 && now - e.second.read_at < 2 * kPeriod;
+    });
+    const Calls c = std::exchange(told_, {});
+    return "customers " + std::to_string(customers_.size()) + " (total of late " + std::to_string(known) +
+           "), calls ok " + std::to_string(c.ok) + " not added " + std::to_string(c.not_added) + " late " +
+           std::to_string(c.late) + " lost " + std::to_string(c.lost) + ", pace " +
+           std::to_string(int(call_rate_));
+  }
+
   // The counter answered or failed to. Returns the customer it was about.
   Customer* answered(Micros now, const CounterAnswered& a) {
     auto found = pending_.find(a.name);
@@ -314,6 +327,7 @@
   void pace(const CounterAnswered& a) {
     const bool ok = a.outcome == CountOutcome::kOk, unknown = a.outcome == CountOutcome::kUnknown;
     const bool back = ok && silent(), slow = 2 * a.duration > settings_.counter_timeout;
+    ++(ok ? told_.ok : !unknown ? told_.not_added : slow ? told_.late : told_.lost);
     in_a_row_ = ok ? 0 : in_a_row_ + 1;
     if (unknown && !slow && !silent()) return;
     crowd_ = back ? 0 : crowd_ + kCrowdGain * ((unknown ? kLateWeight : ok && !slow ? 0 : 1) - crowd_);
@@ -332,6 +346,9 @@
   double call_rate_ = kCallsFirst, calls_ = kCallsFirst;
   double crowd_ = 0;  // part of the calls that failed or took long; fading mean
   Micros calls_at_ = 0;
+  struct Calls {
+    int ok = 0, not_added = 0, late = 0, lost = 0;
+  } told_;
   double could_ = 0, had_ = 0;  // units: what whole quotas would have come to, and what first totals were
   Micros born_ = 0;
   int in_a_row_ = 0;  // failed calls
@@ -533,6 +550,12 @@
     if (weights > 0) peer_rate_ += 0.3 * (work / weights / (kPeriod / kSecond) - peer_rate_);
   }
 
+  // For the log: attempts out of those that may be, and answer times now and when idle, over their aims.
+  std::string state() const {
+    return "out " + std::to_string(out_) + " of " + std::to_string(even()) + ", answers " +
+           std::to_string(norm_) + " idle " + std::to_string(base_);
+  }
+
   // How much of the room for attempts is taken.
   double pressure(Micros now) {
     settle(now);
@@ -690,11 +713,26 @@
   void look() {
     servers_.look(now_);
     slices_.look(now_, *out_);
+    tell_why();
     next_look_ = std::max(next_look_ + kPeriod, now_);  // a late batch skips looks
     emit(SetTimer{next_look_, kLook});
   }
 
+  // Why requests were refused, for who reads the log of a bad day.
+  void tell_why() {
+    if (now_ - told_at_ < kLogEvery) return;
+    told_at_ = now_;
+    const Refusals r = std::exchange(refusals_, {});
+    if (r.slice + r.ceiling + r.servers == 0) return;
+    log("refused", "slice " + std::to_string(r.slice) + " (no total " + std::to_string(r.blind) +
+                       ", demand within quota " + std::to_string(r.within) + "), ceiling " +
+                       std::to_string(r.ceiling) + " (slice had it " + std::to_string(r.sliced) +
+                       "), servers " + std::to_string(r.servers) + " of " + std::to_string(r.asked) + "; " +
+                       slices_.state(now_) + "; " + servers_.state());
+  }
+
   void on(const RequestArrived& e) {
+    ++refusals_.asked;
     const ClassSettings* cls = &unknown_class_;
     for (const ClassSettings& c : settings_.classes)
       if (c.name == e.request_class) cls = &c;
@@ -738,7 +776,12 @@
     const bool within = slices_.covers(c, r.quota_units) && (plan.max_open <= 0 || c.open < plan.max_open);
     // A plan that earns more beyond its quota than it costs is let through while servers have room.
     const bool excess = plan.over_worth > plan.over_cost && servers_.pressure(now_) < kRelaxed;
-    if (!ceiling_covers(now_, c, r.units) || (!within && !excess)) {
+    const bool under_ceiling = ceiling_covers(now_, c, r.units);
+    if (!under_ceiling || (!within && !excess)) {
+      if (within) ++refusals_.sliced;
+      ++(under_ceiling ? refusals_.slice : refusals_.ceiling);
+      if (under_ceiling && c.read_at <= 0) ++refusals_.blind;
+      if (under_ceiling && c.read_at > 0 && c.own + c.others < c.rate) ++refusals_.within;
       emit(Refuse{r.id, slices_.retry_after(c, r.quota_units, r.cls->aim)});
       finish(r);
       return forget(requests_.find(r.id));
@@ -865,10 +908,12 @@
   // The one final answer of a request that no server will answer.
   void end(Request& r) {
     if (r.done) return;
-    if (may_refuse(r))
+    if (may_refuse(r)) {
+      ++refusals_.servers;
       emit(Refuse{r.id, Micros(mean_of(*r.cls))});
-    else
+    } else {
       emit(Fail{r.id});
+    }
     finish(r);
   }
 
@@ -934,7 +979,10 @@
   std::unordered_map<std::int64_t, std::pair<std::string, int>> timers_;
   std::map<std::string, Micros> logged_;
   std::vector<std::string> held_;
-  Micros now_ = 0, next_look_ = 0;
+  struct Refusals {  // since last told, by reason
+    int asked = 0, slice = 0, blind = 0, within = 0, ceiling = 0, sliced = 0, servers = 0;
+  } refusals_;
+  Micros now_ = 0, next_look_ = 0, told_at_ = 0;
   std::vector<Action>* out_ = nullptr;
   std::int64_t timer_ = 1;
   double retries_ = kRetryBurst;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -685,6 +685,18 @@
   EXPECT_EQ(all<SendAttempt>(d.step(0, {r})).size(), 1u);
 }
 
+TEST(Module, TheLogTellsWhyRequestsWereRefused) {
+  Driver d;
+  d.burst(kMs, 25);  // five past the slice
+  d.run(12 * kS);
+  std::string told;
+  for (const LogLine& l : all<LogLine>(d.log()))
+    if (l.text.rfind("refused: ", 0) == 0) told += l.text;
+  EXPECT_NE(told.find("slice 5 "), std::string::npos) << told;
+  EXPECT_NE(told.find("ceiling 0 "), std::string::npos) << told;
+  EXPECT_NE(told.find("of 25;"), std::string::npos) << told;
+}
+
 TEST(Module, SameEventsSameActions) {
   auto play = [] {
     Driver d;
