Report Billed-Units and Usage-Percent of answers to the module

What a client was guessed to take too little of went on beyond its quota.

Ruled out as the cause of the refusals: these stay.

--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -121,6 +121,8 @@
   e.outcome = result.outcome;
   e.duration = clock_.now() - a.sent;
   e.load = result.load;
+  e.billed = result.billed;
+  e.meter = result.meter;
   if (result.outcome == Outcome::kOk) {
     Answer served;
     served.status = 200;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -36,6 +36,7 @@
 constexpr int kMostInterim = 16;           // 1xx answers ahead of one
 constexpr Micros kAnswerWithin = 250'000;  // us from an answer's first byte to its last; bodies are small
 constexpr std::uint64_t kMostBody = 64 << 10;
+constexpr double kMostUnits = 1e4, kMostPercent = 1e6;  // that an honest server tells
 
 // A name of a load report, the field that it fills and the most that an honest server says.
 struct LoadField {
@@ -80,6 +81,14 @@
   return load;
 }
 
+// A figure that stands alone in a field; below 0 where there is none that an honest server says.
+double parse_figure(boost::beast::string_view text, double most) {
+  double value = 0;
+  const auto [stop, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+  const bool read = ec == std::errc() && stop == text.data() + text.size();
+  return read && value >= 0 && value <= most ? value : -1;
+}
+
 // Never-ran only when the protocol proves it: a plain 503 or 504 may come from a server that did the work.
 Outcome outcome_of(const http::response<http::string_body>& answer) {
   if (answer.result() == http::status::ok) return Outcome::kOk;
@@ -400,7 +409,11 @@
   result.outcome = outcome_of(answer);
   const auto load = answer["Endpoint-Load-Metrics"];
   result.load = parse_load({load.data(), load.size()});
-  if (result.outcome == Outcome::kOk) result.body = std::move(answer.body());
+  result.meter = 1 + int(parse_figure(answer["Usage-Percent"], kMostPercent));
+  if (result.outcome == Outcome::kOk) {
+    result.billed = std::max(0.0, parse_figure(answer["Billed-Units"], kMostUnits));
+    result.body = std::move(answer.body());
+  }
   end(c, std::move(result), answer.keep_alive() && !more);
 }
 
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -41,7 +41,9 @@
 struct AttemptResult {
   Outcome outcome = Outcome::kReset;
   LoadReport load;
-  std::string body;  // of a kOk
+  std::string body;   // of a kOk
+  double billed = 0;  // of a kOk: the true units, where it told them
+  int meter = 0;      // 1 + percent of its quota that the customer used; 0: not said
 };
 
 class Upstream {
--- a/tests/net/driver_test.cpp
+++ b/tests/net/driver_test.cpp
@@ -340,6 +340,21 @@
   EXPECT_GT(refused, 1);
 }
 
+TEST_F(DriverTest, WhatWasBilledIsTakenFromTheQuota) {
+  rig.config.settings.settles_later = true;
+  rig.config.settings.largest_units = 4;
+  rig.config.settings.plans[0].rate = 0.001;
+  rig.config.settings.plans[0].burst = 6;  // two thirds of it, while no total is known
+  s1.on_request = [](Peer& p, const Request_&) { p.write(reply("200 OK", "Billed-Units: 4\r\n", "ok")); };
+  rig.know(member("s1", s1));
+  rig.start();
+  Client c = rig.client();
+  c.send(get("t0"));
+  EXPECT_EQ(status(c), 200);  // guessed as one, billed as four
+  c.send(get("t1"));
+  EXPECT_EQ(status(c), 429);
+}
+
 TEST_F(DriverTest, TotalsComeFromTheCounterAndItsSilenceLetsRequestsPass) {
   FakeCounter counter(rig.io);
   rig.config.settings.has_counter = true;
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -65,6 +65,25 @@
   EXPECT_EQ(seen.body(), "hello");
 }
 
+TEST_F(UpstreamTest, TellsWhatWasBilledAndUsed) {
+  std::string headers;
+  server.on_request = [&](Peer& p, const Request_&) { p.write(reply("200 OK", headers, "body")); };
+  make();
+  headers = "Billed-Units: 3\r\nUsage-Percent: 86\r\n";
+  auto r = result(1);
+  EXPECT_DOUBLE_EQ(r.billed, 3);
+  EXPECT_EQ(r.meter, 87);
+  headers = "Billed-Units: -3\r\nUsage-Percent: 1e99\r\n";  // no honest figures
+  r = result(2);
+  EXPECT_EQ(r.outcome, Outcome::kOk);
+  EXPECT_DOUBLE_EQ(r.billed, 0);
+  EXPECT_EQ(r.meter, 0);
+  headers = "";
+  r = result(3);
+  EXPECT_DOUBLE_EQ(r.billed, 0);
+  EXPECT_EQ(r.meter, 0);
+}
+
 TEST_F(UpstreamTest, AnErrorMayHaveRun) { EXPECT_EQ(outcome_of(reply("500 Oops")), Outcome::kError); }
 
 TEST_F(UpstreamTest, TurnedAwayOnlyWithTheProof) {
