Share half of each ceiling by draws from the counter, first come, first served

Cause: each gateway held an even part of a customer's ceiling, empty when the customer was met. Now half is in even parts and half a pool a window on the counter.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -34,12 +34,15 @@
 constexpr double kOpenSpread = 0.85;   // deviations that the mean stays under an open cap
 constexpr double kOpenLeast = 0.3;     // of an open cap, that mean at the least
 constexpr double kOpenBurst = 1;       // s of an open cap's rate that may be met at once
-constexpr double kCallsFirst = 4;      // calls at once, and a second before the counter's bound is met
-constexpr double kCallsLeast = 1;      // at the least, to notice its return
-constexpr double kCrowded = 0.2;       // part of the calls failed or slow at which the pace is held
-constexpr double kCrowdGain = 0.1;     // an answer; smoothing of that part
-constexpr double kLateWeight = 5;      // refused calls that a late one counts for: all meet that line
-constexpr double kPaceGain = 0.2;      // of the pace, a second, up while calls are answered
+constexpr double kEvenCeiling = 0.5;   // of a ceiling, in even parts; the rest is drawn from the counter
+constexpr double kDrawAhead = 0.5;     // s of what the slice lets through that one draw takes ahead
+constexpr std::uint64_t kCeilingNames = 0xce1115;  // sets names of draws apart from those of totals
+constexpr double kCallsFirst = 4;    // calls at once, and a second before the counter's bound is met
+constexpr double kCallsLeast = 1;    // at the least, to notice its return
+constexpr double kCrowded = 0.2;     // part of the calls failed or slow at which the pace is held
+constexpr double kCrowdGain = 0.1;   // an answer; smoothing of that part
+constexpr double kLateWeight = 5;    // refused calls that a late one counts for: all meet that line
+constexpr double kPaceGain = 0.2;    // of the pace, a second, up while calls are answered
 constexpr int kDownAfter = 6;        // failed calls in a row: down; nobody waits, and its pace is found anew
 constexpr int kDraws = 2;            // servers compared for an attempt, and our part of them
 constexpr double kZoneBias = 1.08;   // a server elsewhere must look so much better to be worth crossing
@@ -118,7 +121,12 @@
   std::vector<std::string> waiting;  // requests that wait for the first total
   double ceiling = 0;                // units left of our even part of the ceiling
   Micros ceiling_at = 0;
-  int open = 0;  // attempts out
+  double reserved = 0;  // units drawn from the ceiling's shared part, good in `window` alone
+  std::int64_t window = 0;
+  bool drained = false;                 // nothing is left there in `window`
+  bool reserving = false;               // a draw is on its way
+  std::vector<std::string> at_ceiling;  // requests that wait for it
+  int open = 0;                         // attempts out
 };
 
 class QuotaSlices {
@@ -211,9 +219,7 @@
     const bool known = c.read_at > 0;
     if (!settings_.has_counter || c.rate <= 0 || c.uncounted <= 0) return false;
     if (!known && c.calling > 0) return !silent();
-    const double most = std::max(kCallsFirst, call_rate_);
-    calls_ = std::min(most, calls_ + call_rate_ * double(now - calls_at_) / kSecond);
-    calls_at_ = now;
+    const double most = refill(now);
     // The fewer calls are to spare, the more requests must one carry. Danger: customers met now and then by
     // each of a hundred gateways would use up what the counter bears.
     // Danger: in a period all gateways may each spend the store that they see. Who spends fast is told of
@@ -247,7 +253,8 @@
     for (auto it = customers_.begin(); it != customers_.end();) {
       auto here = it++;
       advance(now, here->second);
-      if (now - here->second.last_use > kKnownFor && here->second.open == 0 && here->second.calling == 0)
+      if (now - here->second.last_use > kKnownFor && here->second.open == 0 && here->second.calling == 0 &&
+          !here->second.reserving)
         customers_.erase(here);
       else
         call(now, here->first, here->second, out);
@@ -266,6 +273,15 @@
            std::to_string(int(call_rate_));
   }
 
+  // May a call be made for something else than totals?
+  bool spare_call(Micros now) {
+    if (!settings_.has_counter || silent()) return false;
+    refill(now);
+    if (calls_ < 1) return false;
+    calls_ -= 1;
+    return true;
+  }
+
   // The counter answered or failed to. Returns the customer it was about.
   Customer* answered(Micros now, const CounterAnswered& a) {
     auto found = pending_.find(a.name);
@@ -273,7 +289,6 @@
     const auto [who, amount] = found->second;
     pending_.erase(found);
     const bool ok = a.outcome == CountOutcome::kOk;
-    pace(a);
     auto it = customers_.find(who);
     if (it == customers_.end()) return nullptr;
     Customer& c = it->second;
@@ -319,7 +334,6 @@
     return &c;
   }
 
- private:
   // Danger: a counter asked more than it can serve answers next to nobody; every gateway sees that alike and
   // slows down alike. After a silence the pace is found anew. A call that is lost at once, under a reset or a
   // reply without a number, tells of its connection and not of the line at the counter: the pace stays. Harm:
@@ -338,7 +352,16 @@
       call_rate_ += 1;
     }
   }
+
+ private:
   bool silent() const { return in_a_row_ >= kDownAfter; }
+  // Calls that may be saved up.
+  double refill(Micros now) {
+    const double most = std::max(kCallsFirst, call_rate_);
+    calls_ = std::min(most, calls_ + call_rate_ * double(now - calls_at_) / kSecond);
+    calls_at_ = now;
+    return most;
+  }
   double uniform() { return double((random_ = mix(random_)) >> 11) * 0x1p-53; }
 
   const Settings& settings_;
@@ -358,15 +381,84 @@
 };
 
 // ---- 2. Ceilings and open caps ------------------------------------------------------------------------
-// Danger: the ceiling is a rule. An even part of its rate and stock, empty at a start, is safe alone.
-bool ceiling_covers(Micros now, Customer& c, double units) {
-  const PlanSettings& p = *c.plan;
-  if (p.ceiling_rate <= 0) return true;
-  const double fill = p.ceiling_rate / c.set_size * double(now - c.ceiling_at) / kSecond;
-  c.ceiling = std::min(p.ceiling_burst / c.set_size, c.ceiling + fill);
-  c.ceiling_at = now;
-  return c.ceiling >= units;
-}
+// Danger: the ceiling is a rule, and no total is young enough to tell what others send on at this moment.
+// Danger: even parts alone are safe but refuse a customer well inside its quota whose traffic comes through
+// one gateway, or who was just met: a part starts empty, for a predecessor may have spent it. So even parts
+// share only kEvenCeiling of the ceiling. The rest is drawn from the counter, first come, first served: under
+// a name for the customer and this window each gateway adds what it is about to send on, and what lies within
+// the window's pool is its own until the window ends. A span of t touches t / window + 2 windows at the most;
+// with a window of half the burst over the rate, and half the burst as its pool, that is the ceiling itself.
+class Ceilings {
+ public:
+  explicit Ceilings(const Settings& settings) : settings_(settings) {}
+
+  bool covers(Micros now, Customer& c, double units) const {
+    const PlanSettings& p = *c.plan;
+    if (p.ceiling_rate <= 0) return true;
+    const double part = (settings_.has_counter ? kEvenCeiling : 1) / c.set_size;
+    const double fill = part * p.ceiling_rate * double(now - c.ceiling_at) / kSecond;
+    c.ceiling = std::min(part * p.ceiling_burst, c.ceiling + fill);
+    c.ceiling_at = now;
+    return c.ceiling + (c.window == window(now, c) ? c.reserved : 0) >= units;
+  }
+
+  void take(Micros now, Customer& c, double units) const {
+    if (c.plan->ceiling_rate <= 0) return;
+    const double drawn = c.window == window(now, c) ? std::min(c.reserved, units) : 0;
+    c.reserved -= drawn;
+    c.ceiling -= units - drawn;
+  }
+
+  // Draws what the request needs and what the slice lets through soon. False if there is nothing to wait for.
+  template <typename MayCall>
+  bool draw(Micros now, Customer& c, double units, MayCall may_call, std::vector<Action>& out) {
+    if (!settings_.has_counter) return false;
+    if (c.reserving) return true;
+    const std::int64_t w = window(now, c);
+    if ((c.window == w && c.drained) || !may_call()) return false;
+    if (std::exchange(c.window, w) != w) c.reserved = 0, c.drained = false;
+    const double amount = std::max(units, std::min(c.own, c.rate) * kDrawAhead);
+    const auto name = std::int64_t(mix(c.key ^ mix(kCeilingNames ^ std::uint64_t(w))) >> 2);
+    pending_[name] = {&c, amount, w};
+    c.reserving = true;
+    out.push_back(AddToCounter{name, amount, std::max<Micros>(kSecond, 2 * length(c))});
+    return true;
+  }
+
+  // Returns the customer, if the call was one of ours. What may or may not have been added is not ours to
+  // use.
+  Customer* answered(Micros now, const CounterAnswered& a) {
+    const auto found = pending_.find(a.name);
+    if (found == pending_.end()) return nullptr;
+    const Draw d = found->second;
+    pending_.erase(found);
+    Customer& c = *d.customer;
+    c.reserving = false;
+    if (a.outcome != CountOutcome::kOk || d.window != window(now, c)) return &c;
+    const double over = std::max(0.0, a.total - (1 - kEvenCeiling) * c.plan->ceiling_burst / 2);
+    c.reserved += std::max(0.0, d.amount - over);
+    c.drained = over > 0;
+    return &c;
+  }
+
+ private:
+  struct Draw {
+    Customer* customer = nullptr;  // kept while it is `reserving`
+    double amount = 0;
+    std::int64_t window = 0;
+  };
+  static Micros length(const Customer& c) {
+    return std::max<Micros>(1, Micros(c.plan->ceiling_burst / 2 / c.plan->ceiling_rate * kSecond));
+  }
+  // All gateways change windows at once, at times spread over the customers.
+  static std::int64_t window(Micros now, const Customer& c) {
+    const Micros l = length(c);
+    return (now + Micros(c.key % std::uint64_t(l))) / l;
+  }
+
+  const Settings& settings_;
+  std::unordered_map<std::int64_t, Draw> pending_;  // looked up by name, never walked
+};
 
 // ---- 3. Servers ---------------------------------------------------------------------------------------
 struct Server {
@@ -648,6 +740,7 @@
       : settings_(std::move(settings)),
         seed_(seed),
         slices_(settings_, mix(seed)),
+        ceilings_(settings_),
         servers_(settings_, mix(seed + 1)) {
     settings_.gateways = std::max(1, settings_.gateways);
     means_.resize(settings_.classes.size() + 1);
@@ -684,13 +777,19 @@
   }
   void on(const ProbeEnded&) {}
   void on(const CounterAnswered& e) {
-    if (Customer* c = slices_.answered(now_, e)) {
-      for (const std::string& id : std::exchange(c->waiting, {}))
-        if (auto it = requests_.find(id); it != requests_.end() && it->second.waits) decide(it->second);
-    }
+    slices_.pace(e);
+    Customer* drawn = ceilings_.answered(now_, e);
+    Customer* counted = drawn ? nullptr : slices_.answered(now_, e);
+    if (drawn) decide_all(drawn->at_ceiling);
+    if (counted) decide_all(counted->waiting);
     if (e.outcome != CountOutcome::kOk) log("counter", "no answer or refused; totals are held");
   }
 
+  void decide_all(std::vector<std::string>& waiting) {
+    for (const std::string& id : std::exchange(waiting, {}))
+      if (auto it = requests_.find(id); it != requests_.end() && it->second.waits) decide(it->second);
+  }
+
   void on(const ClientGone& e) {
     auto it = requests_.find(e.id);
     if (it == requests_.end()) return;
@@ -756,15 +855,22 @@
     r.give_up = cls->late_worth > 0 ? e.deadline : std::min(e.deadline, now_ + cls->aim);
     // Danger: where each of a hundred gateways meets a customer now and then, none would ever know a total
     // when it is needed. The first request waits for it, a counter's time-out at most.
-    if (slices_.call(now_, e.customer, c, *out_) &&
-        e.deadline - now_ > settings_.counter_timeout + 2 * settings_.tick) {
-      r.waits = true;
-      c.waiting.push_back(e.id);
-      timers_[++timer_] = {r.id, kDecide};
-      emit(SetTimer{now_ + settings_.counter_timeout + settings_.tick, timer_});
-    } else {
+    if (slices_.call(now_, e.customer, c, *out_) && may_wait(r))
+      wait(r, c.waiting);
+    else
       decide(r);
-    }
+  }
+
+  // For the counter: a call's time-out at most, all calls of a request together.
+  bool may_wait(const Request& r) const {
+    return now_ - r.arrived < settings_.counter_timeout &&
+           r.give_up - now_ > settings_.counter_timeout + 2 * settings_.tick;
+  }
+  void wait(Request& r, std::vector<std::string>& line) {
+    r.waits = true;
+    line.push_back(r.id);
+    timers_[++timer_] = {r.id, kDecide};
+    emit(SetTimer{r.arrived + settings_.counter_timeout + settings_.tick, timer_});
   }
 
   // Within the slice or not? Refused at once if not.
@@ -776,7 +882,11 @@
     const bool within = slices_.covers(c, r.quota_units) && (plan.max_open <= 0 || c.open < plan.max_open);
     // A plan that earns more beyond its quota than it costs is let through while servers have room.
     const bool excess = plan.over_worth > plan.over_cost && servers_.pressure(now_) < kRelaxed;
-    const bool under_ceiling = ceiling_covers(now_, c, r.units);
+    const bool under_ceiling = ceilings_.covers(now_, c, r.units);
+    const auto may_call = [this] { return slices_.spare_call(now_); };
+    if ((within || excess) && !under_ceiling && may_wait(r) &&
+        ceilings_.draw(now_, c, r.units, may_call, *out_))
+      return wait(r, c.at_ceiling);
     if (!under_ceiling || (!within && !excess)) {
       if (within) ++refusals_.sliced;
       ++(under_ceiling ? refusals_.slice : refusals_.ceiling);
@@ -833,8 +943,8 @@
     Server* s = servers_.choose(now_, work, mean_of(*r.cls), [&](const Server& to) { return may_go(r, to); });
     if (!s) return false;
     if (!again) {
-      if (!ceiling_covers(now_, *r.customer, r.units)) return false;
-      if (r.customer->plan->ceiling_rate > 0) r.customer->ceiling -= r.units;
+      if (!ceilings_.covers(now_, *r.customer, r.units)) return false;
+      ceilings_.take(now_, *r.customer, r.units);
       retries_ = std::min(kRetryBurst, retries_ + kRetryShare);
     }
     servers_.sent(now_, *s, work);
@@ -972,6 +1082,7 @@
   const PlanSettings unknown_plan_{};
   const std::uint64_t seed_;
   QuotaSlices slices_;
+  Ceilings ceilings_;
   Servers servers_;
   std::vector<double> units_;                          // mean units by class
   std::vector<double> means_;                          // us; mean answer time by class
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <map>
 #include <set>
 
@@ -398,6 +399,72 @@
   EXPECT_GE(sent, 40);
 }
 
+// Some gateways of one customer on one counter, under a ceiling of 20 units a second and 40 at once. Each
+// asks every 50 ms for as many units as `asks` says; what a store of the ceiling's size fell to at the least,
+// and what was sent.
+struct Ceiled {
+  double least = 40;
+  int sent = 0, asked = 0;
+};
+Ceiled play_ceiling(const std::vector<int>& asks, double rate, CountOutcome outcome = CountOutcome::kOk) {
+  Settings s = counted_settings();
+  s.gateways = int(asks.size());
+  s.plans[0].rate = rate;
+  s.plans[0].burst = 2 * rate;
+  s.plans[0].ceiling_rate = 20;
+  s.plans[0].ceiling_burst = 40;
+  std::vector<Driver> gateways;
+  for (std::size_t i = 0; i < asks.size(); ++i) gateways.emplace_back(s, Driver::up({"a", "b", "c"}), i + 1);
+  std::map<std::int64_t, double> totals;
+  Ceiled out;
+  double store = 40;
+  Micros filled = 0;
+  const std::function<void(Driver&, Micros, const std::vector<Action>&)> act =
+      [&](Driver& d, Micros now, const std::vector<Action>& actions) {
+        for (const SendAttempt& a : all<SendAttempt>(actions)) {
+          store = std::min(40.0, store + 20 * double(now - filled) / kS) - 1;
+          filled = now;
+          out.least = std::min(out.least, store);
+          ++out.sent;
+          act(d, now, d.end(now, a, Outcome::kOk));
+        }
+        for (const AddToCounter& a : all<AddToCounter>(actions)) {
+          totals[a.name] += a.amount;
+          act(d, now + kMs, d.step(now + kMs, {CounterAnswered{a.name, totals[a.name], outcome, kMs}}));
+        }
+      };
+  for (Micros now = 100 * kMs; now < 12 * kS; now += 50 * kMs)
+    for (std::size_t i = 0; i < asks.size(); ++i)
+      for (int n = 0; n < asks[i]; ++n) {
+        RequestArrived r = Driver::request(label("r", ++out.asked), now);
+        r.set_size = int(asks.size());
+        act(gateways[i], now, gateways[i].run(now));
+        act(gateways[i], now, gateways[i].step(now, {r}));
+      }
+  return out;
+}
+
+TEST(Ceiling, WhoComesThroughOneGatewayHasMoreThanItsEvenPart) {
+  // Twenty a second, all that the ceiling gives; an even part is five.
+  const Ceiled one = play_ceiling({1, 0, 0, 0}, 1000);
+  EXPECT_GE(one.sent, one.asked / 2);
+  EXPECT_GE(one.least, 0);
+}
+
+TEST(Ceiling, AllGatewaysTogetherKeepIt) {
+  for (const auto& asks : std::vector<std::vector<int>>{{4, 0, 0, 0}, {2, 2, 2, 2}, {1, 0, 3, 1}}) {
+    const Ceiled all = play_ceiling(asks, 1000);
+    EXPECT_GE(all.least, 0);
+    EXPECT_GE(all.sent, 20 * 12 / 2);
+  }
+}
+
+TEST(Ceiling, ADrawThatMayNotHaveBeenAddedIsNotUsed) {
+  const Ceiled lost = play_ceiling({4, 4}, 1000, CountOutcome::kUnknown);
+  EXPECT_LE(lost.sent, 0.5 * 20 * 12);  // the even parts alone, which start empty
+  EXPECT_GT(lost.sent, 0);
+}
+
 TEST(OpenCap, ElevenGatewaysDoNotEachTakeOnePlace) {
   Settings s = basic_settings();
   s.gateways = 11;
