--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -619,8 +619,13 @@
       s.on_trial = false;
     }
     adapt(now, o, timed, over_aim, mean);
+    ++(o == Outcome::kOk        ? ends_.ok
+       : blame                  ? ends_.blamed
+       : o == Outcome::kTimeout ? ends_.late
+                                : ends_.other);
     if (!failed) return false;
     if ((++s.failures < kEjectAfter && !s.on_trial) || s.ejected_until > now) return false;
+    ++ends_.ejected;
     s.ejected_until = now + kEjectFor;
     s.on_trial = true;
     return true;
@@ -642,10 +647,17 @@
     if (weights > 0) peer_rate_ += 0.3 * (work / weights / (kPeriod / kSecond) - peer_rate_);
   }
 
-  // For the log: attempts out of those that may be, and answer times now and when idle, over their aims.
-  std::string state() const {
+  // For the log: attempts out of those that may be, answer times now and when idle, over their aims, and how
+  // attempts ended since last asked.
+  std::string state(Micros now) {
+    const auto out = std::count_if(servers_.begin(), servers_.end(),
+                                   [now](const auto& e) { return e.second.ejected_until > now; });
+    const Ends e = std::exchange(ends_, {});
     return "out " + std::to_string(out_) + " of " + std::to_string(even()) + ", answers " +
-           std::to_string(norm_) + " idle " + std::to_string(base_);
+           std::to_string(norm_) + " idle " + std::to_string(base_) + ", ok " + std::to_string(e.ok) +
+           " late " + std::to_string(e.late) + " blamed " + std::to_string(e.blamed) + " other " +
+           std::to_string(e.other) + ", ejected " + std::to_string(out) + " of " +
+           std::to_string(servers_.size()) + ", " + std::to_string(e.ejected) + " times";
   }
 
   // How much of the room for attempts is taken.
@@ -700,6 +712,9 @@
   Micros cut_at_ = 0;
   double peer_rate_ = 0;
   int out_ = 0, listed_ = 0;
+  struct Ends {
+    int ok = 0, late = 0, blamed = 0, other = 0, ejected = 0;
+  } ends_;
   double room_ = 1;  // attempt-seconds
   Micros room_at_ = 0;
 };
@@ -827,7 +842,7 @@
                        ", demand within quota " + std::to_string(r.within) + "), ceiling " +
                        std::to_string(r.ceiling) + " (slice had it " + std::to_string(r.sliced) +
                        "), servers " + std::to_string(r.servers) + " of " + std::to_string(r.asked) + "; " +
-                       slices_.state(now_) + "; " + servers_.state());
+                       slices_.state(now_) + "; " + servers_.state(now_));
   }
 
   void on(const RequestArrived& e) {
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -102,6 +102,9 @@
     socket_.set_option(tcp::no_delay(true), ignored);
     state_ = State::kUp;
     heard_ = clock_.now();
+    // Both ends of a stretch without the counter are in the log; a bad day is read by them.
+    if (down_since_ > 0) std::cerr << "counter: back after " << (heard_ - down_since_) / 1000 << " ms\n";
+    down_since_ = 0;
     write();
     read();
   });
@@ -221,6 +224,7 @@
   writing_.clear();
   written_ = 0;
   const Micros now = clock_.now();
+  if (down_since_ == 0) down_since_ = now;
   if (!retired_ && now - logged_ > kLogEvery) {
     logged_ = now;
     std::cerr << "counter: " << why << '\n';
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -71,6 +71,7 @@
   int life_ = 0;
   std::uint64_t number_ = 0;
   Micros heard_ = 0, backoff_ = 0, logged_ = 0;
+  Micros down_since_ = 0;  // 0: it is up, or never was
 };
 
 }  // namespace cottonroad::net
