Give back the units of requests that were never sent on

Cause: a request took its units from the slice before there was room for it at a server; held in vain and refused, it kept them. Units now go back to where they came from, store or credit.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -201,8 +201,11 @@
   bool covers(const Customer& c, double units) const {
     return c.rate <= 0 || std::max(c.store, c.credit) >= std::min(units, depth(c)) - 1e-9;
   }
-  void take(Customer& c, double units) {
-    if (c.rate > 0) (c.store >= std::min(units, depth(c)) - 1e-9 ? c.store : c.credit) -= units;
+  // What it is taken from, to be given back there.
+  double Customer::*take(Customer& c, double units) {
+    const auto from = c.store >= std::min(units, depth(c)) - 1e-9 ? &Customer::store : &Customer::credit;
+    if (c.rate > 0) c.*from -= units;
+    return from;
   }
 
   // When the slice will have filled enough. Danger: a client that returns after the aim takes units from
@@ -741,7 +744,8 @@
   bool over = false;   // beyond the quota as far as we know
   bool done = false;
   bool held = false;
-  bool waits = false;  // for the first total of its customer
+  double Customer::*taken_from = nullptr;  // its units; null: they are not taken
+  bool waits = false;                      // for the first total of its customer
   int out = 0;
   std::vector<Attempt> attempts;
 };
@@ -912,7 +916,7 @@
       return forget(requests_.find(r.id));
     }
     r.over = !within;
-    if (within) slices_.take(c, r.quota_units);
+    if (within) r.taken_from = slices_.take(c, r.quota_units);
     if (send(r)) return;
     if (within) return hold(r);
     end(r);
@@ -1044,6 +1048,10 @@
 
   void finish(Request& r) {
     r.done = true;
+    // What was never sent on took nothing of the quota. Danger: while servers are full the units of all that
+    // waits here in vain would be gone, and the slice would refuse those that servers do have room for.
+    const auto from = std::exchange(r.taken_from, nullptr);
+    if (from && r.customer->rate > 0 && r.attempts.empty()) r.customer->*from += r.quota_units;
     if (!settings_.may_cancel) return;
     for (std::size_t i = 0; i < r.attempts.size(); ++i)
       if (r.attempts[i].out && !r.cls->streamed) emit(CancelAttempt{r.id, int(i)});
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -697,6 +697,19 @@
   EXPECT_EQ(sent, 200u);
 }
 
+TEST(Overload, WhatWasNeverSentOnTakesNothingOfTheQuota) {
+  Driver d(basic_settings(), Driver::up({"a"}));
+  std::vector<SendAttempt> sent;
+  std::size_t refused = 0;
+  for (int i = 0; i < 12; ++i)
+    for (const SendAttempt& a : all<SendAttempt>(d.arrive(kMs, label("r", i)))) sent.push_back(a);
+  refused = all<Refuse>(d.run(400 * kMs)).size();  // held in vain, all of the server's room is taken
+  ASSERT_EQ(sent.size() + refused, 12u);
+  ASSERT_GT(refused, 6u);
+  for (const SendAttempt& a : sent) d.end(401 * kMs, a, Outcome::kOk);
+  EXPECT_GE(d.burst(402 * kMs, 20), 20 - int(sent.size()));  // of the twenty
+}
+
 TEST(Overload, AGatewayWithMoreGatewaysThanServersMaySendMoreThanOneAtATime) {
   Settings s = basic_settings();
   s.gateways = 300;
