Let newcomers wait in line behind dearer held requests

Cause: a request that arrived as room came back was sent at once, ahead of those that wait, whatever their worth; the order of the held requests did not reach it.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -917,7 +917,9 @@
     }
     r.over = !within;
     if (within) r.taken_from = slices_.take(c, r.quota_units);
-    if (send(r)) return;
+    // Danger: room grows with time, and who comes first after that would take it from dearer ones that wait.
+    const bool in_line = within && !held_.empty();
+    if (!in_line && send(r)) return;
     if (within) return hold(r);
     end(r);
     forget(requests_.find(r.id));
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -710,6 +710,34 @@
   EXPECT_GE(d.burst(402 * kMs, 20), 20 - int(sent.size()));  // of the twenty
 }
 
+TEST(Overload, NewcomersDoNotTakeTheRoomOfDearerOnesThatWait) {
+  Settings s = basic_settings();
+  s.classes.push_back(s.classes[0]);
+  s.classes[1].name = "dear";
+  s.classes[1].worth = 10;
+  Driver d(s, Driver::up({"a"}));
+  std::vector<SendAttempt> sent;
+  for (int i = 0; i < 6; ++i)
+    for (const SendAttempt& a : all<SendAttempt>(d.arrive(kMs, label("r", i)))) sent.push_back(a);
+  ASSERT_LT(sent.size(), 6u);
+  RequestArrived dear = Driver::request("dear", 2 * kMs);
+  dear.request_class = "dear";
+  ASSERT_TRUE(all<SendAttempt>(d.step(2 * kMs, {dear})).empty());
+  std::vector<Event> events;
+  for (const SendAttempt& a : sent) {
+    AttemptEnded e;
+    e.id = a.id;
+    e.server = a.server;
+    e.duration = 80 * kMs;
+    e.finished = true;
+    events.push_back(e);
+  }
+  events.push_back(Driver::request("cheap", 3 * kMs));
+  const auto next = all<SendAttempt>(d.step(3 * kMs, events));
+  ASSERT_FALSE(next.empty());
+  EXPECT_EQ(next[0].id, "dear");
+}
+
 TEST(Overload, AGatewayWithMoreGatewaysThanServersMaySendMoreThanOneAtATime) {
   Settings s = basic_settings();
   s.gateways = 300;
