--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -2,6 +2,7 @@
 // include/cottonroad/gateway.hpp. Sections: tuned values, 1 QuotaSlices, 2 Ceilings and open caps,
 // 3 Servers, 4 Attempts, 5 Overload.
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdint>
 #include <deque>
@@ -622,10 +623,7 @@
       s.on_trial = false;
     }
     adapt(now, o, timed, over_aim, mean);
-    ++(o == Outcome::kOk        ? ends_.ok
-       : blame                  ? ends_.blamed
-       : o == Outcome::kTimeout ? ends_.late
-                                : ends_.other);
+    ++ends_.by_outcome[blame ? kBlamed : std::size_t(o)];
     if (!failed) return false;
     if ((++s.failures < kEjectAfter && !s.on_trial) || s.ejected_until > now) return false;
     ++ends_.ejected;
@@ -656,11 +654,16 @@
     const auto out = std::count_if(servers_.begin(), servers_.end(),
                                    [now](const auto& e) { return e.second.ejected_until > now; });
     const Ends e = std::exchange(ends_, {});
-    return "out " + std::to_string(out_) + " of " + std::to_string(even()) + ", answers " +
-           std::to_string(norm_) + " idle " + std::to_string(base_) + ", ok " + std::to_string(e.ok) +
-           " late " + std::to_string(e.late) + " blamed " + std::to_string(e.blamed) + " other " +
-           std::to_string(e.other) + ", ejected " + std::to_string(out) + " of " +
-           std::to_string(servers_.size()) + ", " + std::to_string(e.ejected) + " times";
+    static constexpr const char* kNames[] = {" ok ",        " error ",       " full ",
+                                             " late ",      " unconnected ", " reset ",
+                                             " cancelled ", " not sent ",    " blamed "};
+    std::string text = "out " + std::to_string(out_) + " of " + std::to_string(even()) + ", answers " +
+                       std::to_string(norm_) + " idle " + std::to_string(base_) + ", ejected " +
+                       std::to_string(out) + " of " + std::to_string(servers_.size()) + ", " +
+                       std::to_string(e.ejected) + " times, ended:";
+    for (std::size_t i = 0; i < e.by_outcome.size(); ++i)
+      if (e.by_outcome[i] > 0) text += kNames[i] + std::to_string(e.by_outcome[i]);
+    return text;
   }
 
   // How much of the room for attempts is taken.
@@ -715,8 +718,10 @@
   Micros cut_at_ = 0;
   double peer_rate_ = 0;
   int out_ = 0, listed_ = 0;
+  static constexpr std::size_t kBlamed = std::size_t(Outcome::kNotSent) + 1;  // beside the outcomes
   struct Ends {
-    int ok = 0, late = 0, blamed = 0, other = 0, ejected = 0;
+    std::array<int, kBlamed + 1> by_outcome{};
+    int ejected = 0;
   } ends_;
   double room_ = 1;  // attempt-seconds
   Micros room_at_ = 0;
