--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -678,10 +678,12 @@
   double even() const { return std::max(limit_, kLeastInFlight * std::max(listed_, 1) / settings_.gateways); }
 
   // Danger: with more gateways than servers an even part is less than one. More go out when demand by chance
-  // asks for it, and are paid for out of the room that was left in the last second.
+  // asks for it, and are paid for out of the room that was left in the last second. Danger: paid by a stop,
+  // with less than an even part out, the dear requests that wait run out of time meanwhile, and the next room
+  // comes in one lot that goes to whoever is there. So an even part may be out at any time.
   bool has_room(Micros now) {
     settle(now);
-    return room_ > 0 && out_ < 1 + even() + kSpread * std::sqrt(even());
+    return out_ + 1 <= even() || (room_ > 0 && out_ < 1 + even() + kSpread * std::sqrt(even()));
   }
   void settle(Micros now) {
     room_ = std::clamp(room_ + (even() - out_) * double(now - room_at_) / kSecond, -even(), even());
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -738,6 +738,16 @@
   EXPECT_EQ(next[0].id, "dear");
 }
 
+TEST(Overload, AfterABurstAnEvenPartStillGoesOut) {
+  Driver d;
+  std::vector<SendAttempt> sent;
+  for (int i = 0; i < 8; ++i)
+    for (const SendAttempt& a : all<SendAttempt>(d.arrive(kMs, label("r", i)))) sent.push_back(a);
+  ASSERT_GE(sent.size(), 6u);  // an even part is three of six, at the least
+  for (std::size_t i = 2; i < sent.size(); ++i) d.end(450 * kMs, sent[i], Outcome::kOk, 0, 449 * kMs);
+  EXPECT_EQ(all<SendAttempt>(d.arrive(451 * kMs, "next")).size(), 1u);
+}
+
 TEST(Overload, AGatewayWithMoreGatewaysThanServersMaySendMoreThanOneAtATime) {
   Settings s = basic_settings();
   s.gateways = 300;
