--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -44,6 +44,7 @@
 constexpr double kCrowdGain = 0.1;   // an answer; smoothing of that part
 constexpr double kLateWeight = 5;    // refused calls that a late one counts for: all meet that line
 constexpr double kPaceGain = 0.2;    // of the pace, a second, up while calls are answered
+constexpr double kPaceBack = 0.5;    // of the pace before a silence, after it
 constexpr int kDownAfter = 6;        // failed calls in a row: down; nobody waits, and its pace is found anew
 constexpr int kDraws = 2;            // servers compared for an attempt, and our part of them
 constexpr double kZoneBias = 1.08;   // a server elsewhere must look so much better to be worth crossing
@@ -367,6 +368,10 @@
     const bool ok = a.outcome == CountOutcome::kOk, unknown = a.outcome == CountOutcome::kUnknown;
     const bool back = ok && silent(), slow = 2 * a.duration > settings_.counter_timeout;
     ++(ok ? told_.ok : !unknown ? told_.not_added : slow ? told_.late : told_.lost);
+    if (in_a_row_ == 0) good_rate_ = call_rate_;
+    // Danger: calls on a connection that went silent come late one and all, which says nothing of the line at
+    // the counter; at the pace that they cut it to, it takes seconds more until totals are young again.
+    if (back) call_rate_ = std::max(call_rate_, kPaceBack * good_rate_);
     in_a_row_ = ok ? 0 : in_a_row_ + 1;
     if (unknown && !slow && !silent()) return;
     crowd_ = back ? 0 : crowd_ + kCrowdGain * ((unknown ? kLateWeight : ok && !slow ? 0 : 1) - crowd_);
@@ -392,7 +397,8 @@
   const Settings& settings_;
   std::uint64_t random_;
   double call_rate_ = kCallsFirst, calls_ = kCallsFirst;
-  double crowd_ = 0;  // part of the calls that failed or took long; fading mean
+  double good_rate_ = kCallsFirst;  // before the calls that fail in a row now
+  double crowd_ = 0;                // part of the calls that failed or took long; fading mean
   Micros calls_at_ = 0;
   struct Calls {
     int ok = 0, not_added = 0, late = 0, lost = 0;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -301,6 +301,27 @@
   EXPECT_LT(calls(counted_settings().counter_timeout), 400u);
 }
 
+TEST(QuotaSlices, AfterASilenceCallsDoNotBeginAnew) {
+  // A connection that went silent under calls in their dozens; then the counter answers as before.
+  Driver d(counted_settings());
+  std::size_t made[3] = {};
+  for (int i = 0; i < 2400; ++i) {
+    const Micros now = i * 5 * kMs;
+    const int phase = i < 1200 ? 0 : i < 1800 ? 1 : 2;
+    RequestArrived r = Driver::request(label("x", i), now);
+    r.customer = label("c", i);
+    for (const AddToCounter& c : all<AddToCounter>(d.step(now, {r}))) {
+      ++made[phase];
+      const Micros took = phase == 1 ? counted_settings().counter_timeout : kMs;
+      d.step(now + took, {CounterAnswered{c.name, phase == 1 ? 0 : c.amount,
+                                          phase == 1 ? CountOutcome::kUnknown : CountOutcome::kOk, took}});
+    }
+  }
+  EXPECT_GT(made[0], 200u);
+  EXPECT_LT(made[1], 100u);
+  EXPECT_GT(made[2], 300u);  // of 600 requests in the last 3 s
+}
+
 TEST(QuotaSlices, ASpikeElsewhereLeavesTheStoreWithTheTotalThatTellsOfIt) {
   // A fading mean of it would let the whole store be spent a second time here.
   Driver d(counted_settings());
