--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,13 +38,14 @@
 constexpr double kEvenCeiling = 0.5;   // of a ceiling, in even parts; the rest is drawn from the counter
 constexpr double kDrawAhead = 0.5;     // s of what the slice lets through that one draw takes ahead
 constexpr std::uint64_t kCeilingNames = 0xce1115;  // sets names of draws apart from those of totals
-constexpr double kCallsFirst = 4;    // calls at once, and a second before the counter's bound is met
-constexpr double kCallsLeast = 1;    // at the least, to notice its return
-constexpr double kCrowded = 0.2;     // part of the calls failed or slow at which the pace is held
-constexpr double kCrowdGain = 0.1;   // an answer; smoothing of that part
-constexpr double kLateWeight = 5;    // refused calls that a late one counts for: all meet that line
-constexpr double kPaceGain = 0.2;    // of the pace, a second, up while calls are answered
-constexpr double kPaceBack = 0.5;    // of the pace before a silence, after it
+constexpr double kCallsFirst = 200;     // of all gateways: at once, and a second before the bound is met
+constexpr double kCallsFirstLeast = 4;  // of each
+constexpr double kCallsLeast = 1;       // at the least, to notice its return
+constexpr double kCrowded = 0.2;        // part of the calls failed or slow at which the pace is held
+constexpr double kCrowdGain = 0.1;      // an answer; smoothing of that part
+constexpr double kLateWeight = 5;       // refused calls that a late one counts for: all meet that line
+constexpr double kPaceGain = 0.2;       // of the pace, a second, up while calls are answered
+constexpr double kPaceBack = 0.5;       // of the pace before a silence, after it
 constexpr int kDownAfter = 6;        // failed calls in a row: down; nobody waits, and its pace is found anew
 constexpr int kDraws = 2;            // servers compared for an attempt, and our part of them
 constexpr double kZoneBias = 1.08;   // a server elsewhere must look so much better to be worth crossing
@@ -298,6 +299,8 @@
            std::to_string(int(call_rate_));
   }
 
+  bool silent() const { return in_a_row_ >= kDownAfter; }
+
   // May a call be made for something else than totals?
   bool spare_call(Micros now) {
     if (!settings_.has_counter || silent()) return false;
@@ -384,10 +387,12 @@
   }
 
  private:
-  bool silent() const { return in_a_row_ >= kDownAfter; }
+  double first_calls() const {
+    return std::max(kCallsFirstLeast, kCallsFirst / std::max(1, settings_.gateways));
+  }
   // Calls that may be saved up.
   double refill(Micros now) {
-    const double most = std::max(kCallsFirst, call_rate_);
+    const double most = std::max(first_calls(), call_rate_);
     calls_ = std::min(most, calls_ + call_rate_ * double(now - calls_at_) / kSecond);
     calls_at_ = now;
     return most;
@@ -396,9 +401,9 @@
 
   const Settings& settings_;
   std::uint64_t random_;
-  double call_rate_ = kCallsFirst, calls_ = kCallsFirst;
-  double good_rate_ = kCallsFirst;  // before the calls that fail in a row now
-  double crowd_ = 0;                // part of the calls that failed or took long; fading mean
+  double call_rate_ = first_calls(), calls_ = first_calls();
+  double good_rate_ = first_calls();  // before the calls that fail in a row now
+  double crowd_ = 0;                  // part of the calls that failed or took long; fading mean
   Micros calls_at_ = 0;
   struct Calls {
     int ok = 0, not_added = 0, late = 0, lost = 0;
