Take the ceiling's part as filled since the start for a customer met late

Cause: the part of a customer was empty whenever a gateway met it, for fear of what a predecessor spent; but nobody else has spent of it since this process started.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -147,9 +147,11 @@
       // An open cap, as attempt-seconds a second: so many out that chance seldom passes the cap.
       const double open = plan.max_open;
       c.rate = plan.rate > 0 ? plan.rate : std::max(kOpenLeast * open, open - kOpenSpread * std::sqrt(open));
-      c.at = c.ceiling_at = now;
-
-      c.ceiling = 0;  // danger: a predecessor of this process may just have spent our part
+      c.at = now;
+      // Danger: a predecessor of this process may just have spent our part of the ceiling; it is empty when
+      // we start. Since then nobody else has spent of it, so that a customer met later finds what filled it.
+      c.ceiling = 0;
+      c.ceiling_at = born_;
       c.store = c.part = depth(c);
       c.others = c.rate * (1 - 1.0 / c.set_size);
     }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -423,6 +423,20 @@
   EXPECT_EQ(d.burst(101 * kMs, 3), 1);  // ten units a second is our part
 }
 
+TEST(Ceiling, ACustomerMetLateFindsItsPartFull) {
+  Settings s = basic_settings();
+  s.plans[0].ceiling_rate = 20;
+  s.plans[0].ceiling_burst = 40;
+  Driver d(s);
+  RequestArrived other = Driver::request("other", kS);
+  other.customer = "c2";
+  d.step(kS, {other});
+  EXPECT_EQ(d.burst(1500 * kMs, 10), 5);  // ten units a second since the start is our part
+  RequestArrived third = Driver::request("third", 10 * kS);
+  third.customer = "c3";
+  EXPECT_EQ(all<SendAttempt>(d.step(10 * kS, {third})).size(), 1u);
+}
+
 TEST(Ceiling, HoldsWithADeadCounter) {
   Settings s = basic_settings();
   s.plans[0].rate = 1000;
