Tell clients that the ceiling refuses when it will have room

Cause: the retry-after told when the slice will have filled. Where the ceiling refuses and the slice has units, that was one tick: come back at once, to be refused at once.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -233,13 +233,13 @@
   // gateways. Each spends its fraction; one request may go past it, or a small fraction held none.
   double in_store(const Customer& c) const { return c.part > 0 ? c.store : std::min(c.store, 0.0); }
 
-  // When the slice will have filled enough. Danger: a client that returns after the aim takes units from
-  // fresh requests and earns nothing; the advice stays short.
-  Micros retry_after(const Customer& c, double units, Micros aim) {
+  // When the slice will have filled enough, or `least` has passed. Danger: a client that returns after the
+  // aim takes units from fresh requests and earns nothing; the advice stays short.
+  Micros retry_after(const Customer& c, double units, Micros aim, Micros least) {
     const double fill = std::max({c.rate - c.others, c.rate * c.own / (c.own + c.others + 1e-9), 1e-6});
     const double lacking = std::max(0.0, units - std::max(c.store, c.credit)) / fill * kSecond;
     const double most = std::min(double(settings_.max_retry_after), kAdviseShare * double(aim));
-    return std::max(settings_.tick, Micros(std::min(most, lacking)));
+    return std::max(settings_.tick, Micros(std::min(most, std::max(lacking, double(least)))));
   }
 
   // Hands own demand to the counter if a call is due, and tells whether a first total is on its way.
@@ -433,13 +433,20 @@
   bool covers(Micros now, Customer& c, double units) const {
     const PlanSettings& p = *c.plan;
     if (p.ceiling_rate <= 0) return true;
-    const double part = (settings_.has_counter ? kEvenCeiling : 1) / c.set_size;
-    const double fill = part * p.ceiling_rate * double(now - c.ceiling_at) / kSecond;
-    c.ceiling = std::min(part * p.ceiling_burst, c.ceiling + fill);
+    const double fill = part(c) * p.ceiling_rate * double(now - c.ceiling_at) / kSecond;
+    c.ceiling = std::min(part(c) * p.ceiling_burst, c.ceiling + fill);
     c.ceiling_at = now;
     return c.ceiling + (c.window == window(now, c) ? c.reserved : 0) >= units;
   }
 
+  // How long until our part will have filled enough, or a new window has a pool to draw from.
+  Micros room_in(Micros now, const Customer& c, double units) const {
+    const double fill = part(c) * c.plan->ceiling_rate;
+    const auto filled = Micros(std::max(0.0, units - c.ceiling) / fill * kSecond);
+    if (!settings_.has_counter || !c.drained) return filled;
+    return std::min(filled, length(c) - (now + phase(c)) % length(c));
+  }
+
   void take(Micros now, Customer& c, double units) const {
     if (c.plan->ceiling_rate <= 0) return;
     const double drawn = c.window == window(now, c) ? std::min(c.reserved, units) : 0;
@@ -489,10 +496,9 @@
     return std::max<Micros>(1, Micros(c.plan->ceiling_burst / 2 / c.plan->ceiling_rate * kSecond));
   }
   // All gateways change windows at once, at times spread over the customers.
-  static std::int64_t window(Micros now, const Customer& c) {
-    const Micros l = length(c);
-    return (now + Micros(c.key % std::uint64_t(l))) / l;
-  }
+  static Micros phase(const Customer& c) { return Micros(c.key % std::uint64_t(length(c))); }
+  static std::int64_t window(Micros now, const Customer& c) { return (now + phase(c)) / length(c); }
+  double part(const Customer& c) const { return (settings_.has_counter ? kEvenCeiling : 1) / c.set_size; }
 
   const Settings& settings_;
   std::unordered_map<std::int64_t, Draw> pending_;  // looked up by name, never walked
@@ -952,7 +958,9 @@
       ++(under_ceiling ? refusals_.slice : refusals_.ceiling);
       if (under_ceiling && c.read_at <= 0) ++refusals_.blind;
       if (under_ceiling && c.read_at > 0 && c.own + c.others < c.rate) ++refusals_.within;
-      emit(Refuse{r.id, slices_.retry_after(c, r.quota_units, r.cls->aim)});
+      // Danger: with units left in the slice the advice would be to come at once, and be refused at once.
+      const Micros room = under_ceiling ? 0 : ceilings_.room_in(now_, c, r.units);
+      emit(Refuse{r.id, slices_.retry_after(c, r.quota_units, r.cls->aim, room)});
       finish(r);
       return forget(requests_.find(r.id));
     }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -437,6 +437,17 @@
   EXPECT_EQ(all<SendAttempt>(d.step(10 * kS, {third})).size(), 1u);
 }
 
+TEST(Ceiling, WhoIsRefusedByItIsToldWhenItHasRoom) {
+  Settings s = basic_settings();
+  s.plans[0].ceiling_rate = 20;
+  s.plans[0].ceiling_burst = 40;
+  Driver d(s);
+  const auto refused = all<Refuse>(d.arrive(kMs, "r"));
+  ASSERT_EQ(refused.size(), 1u);  // our part, ten units a second, is empty at a start; the slice is full
+  EXPECT_NEAR(double(refused[0].retry_after), 100 * kMs, 2 * kMs);
+  EXPECT_EQ(all<SendAttempt>(d.arrive(2 * kMs + refused[0].retry_after, "r2")).size(), 1u);
+}
+
 TEST(Ceiling, HoldsWithADeadCounter) {
   Settings s = basic_settings();
   s.plans[0].rate = 1000;
