--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -380,10 +380,14 @@
     in_a_row_ = ok ? 0 : in_a_row_ + 1;
     if (unknown && !slow && !silent()) return;
     crowd_ = back ? 0 : crowd_ + kCrowdGain * ((unknown ? kLateWeight : ok && !slow ? 0 : 1) - crowd_);
+    // Danger: a pace that grew while half of it lay idle says nothing of what the counter bears. All gateways
+    // would meet it at such a pace after a silence, each with calls for every customer.
+    const bool grows = 2 * calls_ < std::max(first_calls(), call_rate_);
     if (crowd_ > 0) {
       const double change = kPaceGain / std::max(1.0, call_rate_) * (1 - crowd_ / kCrowded);
-      call_rate_ = std::max(kCallsLeast, call_rate_ * (1 + std::max(change, -kPaceGain)));
-    } else {
+      call_rate_ =
+          std::max(kCallsLeast, call_rate_ * (1 + std::clamp(change, -kPaceGain, grows ? kPaceGain : 0)));
+    } else if (grows) {
       call_rate_ += 1;
     }
   }
