Refuse at once who stands behind more than will go out in its time

Cause: every request that found the servers full waited for a quarter of its aim, also where dearer ones in line would take all that goes out until then. It was refused late for certain, with less time left for its client to come back.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -710,6 +710,9 @@
     return text;
   }
 
+  // Our part of the attempts that servers can hold.
+  double even() const { return std::max(limit_, kLeastInFlight * std::max(listed_, 1) / settings_.gateways); }
+
   // How much of the room for attempts is taken.
   double pressure(Micros now) {
     settle(now);
@@ -719,8 +722,6 @@
  private:
   double uniform() { return double((random_ = mix(random_)) >> 11) * 0x1p-53; }
 
-  double even() const { return std::max(limit_, kLeastInFlight * std::max(listed_, 1) / settings_.gateways); }
-
   // Danger: with more gateways than servers an even part is less than one. More go out when demand by chance
   // asks for it, and are paid for out of the room that was left in the last second. Danger: paid by a stop,
   // with less than an even part out, the dear requests that wait run out of time meanwhile, and the next room
@@ -1136,12 +1137,16 @@
       return requests_.at(a).value > requests_.at(b).value;
     });
     std::vector<std::string> keep;
+    double ahead = 0;  // us of answers that dearer ones will take
     for (const std::string& id : held_) {
       auto it = requests_.find(id);
       Request& r = it->second;
       r.held = false;
       if (!r.done && !send(r)) {
-        if (now_ < r.hold_until) {
+        // Who stands behind more than will go out in its time is told so at once. Danger: it would wait in
+        // vain, and its client has that much less time left to come back.
+        if (double(now_) + ahead / servers_.even() < double(r.hold_until)) {
+          ahead += r.expected;
           r.held = true;
           keep.push_back(id);
           continue;
