--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,6 +1,5 @@
-// Every decision of cottonroad. The settings, events and actions it deals in are the plain types of
-// include/cottonroad/gateway.hpp. Sections: tuned values, 1 QuotaSlices, 2 Ceilings and open caps,
-// 3 Servers, 4 Attempts, 5 Overload.
+// Every decision of cottonroad, in the plain types of include/cottonroad/gateway.hpp. Sections: tuned values,
+// 1 QuotaSlices, 2 Ceilings and open caps, 3 Servers, 4 Attempts, 5 Overload.
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -8,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -98,6 +98,14 @@
 
 double fade(Micros age, Micros memory) { return std::exp(-double(age) / double(memory)); }
 
+double uniform(std::uint64_t& random) { return double((random = mix(random)) >> 11) * 0x1p-53; }
+
+std::string join(const auto&... parts) {
+  std::ostringstream text;
+  (text << ... << parts);
+  return text.str();
+}
+
 // ---- 1. QuotaSlices -----------------------------------------------------------------------------------
 // A gateway's part of a customer's quota, by its share of the customer's measured demand.
 struct Customer {
@@ -148,8 +156,7 @@
       c.key = hash_text(r.customer);
       c.rate = rate(plan);
       c.at = now;
-      // Danger: a predecessor of this process may just have spent our part of the ceiling; it is empty when
-      // we start. Since then nobody else has spent of it, so that a customer met later finds what filled it.
+      // Danger: a predecessor may just have spent our part of the ceiling: it fills from our start on.
       c.ceiling = 0;
       c.ceiling_at = born_;
       c.store = c.part = depth(c);
@@ -166,18 +173,17 @@
   }
   double burst(const Customer& c) const { return c.plan->rate > 0 ? c.plan->burst : c.rate * kOpenBurst; }
   // Danger: each of a hundred gateways would let all in of a customer that no total has told of. Until then
-  // it has an even part, and one more of the burst; a larger request passes when that is full.
+  // it has an even part, and one more of the burst.
   double depth(const Customer& c) const {
     return burst(c) * (c.read_at > 0 ? 1 : std::min(1.0, 2.0 / c.set_size));
   }
-  // Danger: a quota of a few units a second sees nought or a whole burst in one second; demand is smoothed
-  // over as long as the burst lasts, or customers inside their quota would be refused.
+  // Danger: a small quota sees nought or a whole burst in one second; so it is smoothed over the burst.
   double memory(const Customer& c) const {
     return std::clamp(burst(c) / std::max(c.rate, 1e-9), 1.0, kMaxHorizon);
   }
 
-  // Fills the store by what the others leave of the quota. Danger: a hundredth of a store, kept apart, holds
-  // less than one request; so each gateway keeps its view of the whole, which others draw from as measured.
+  // Fills the store by what the others leave. Danger: a hundredth of a store holds less than one request; so
+  // each gateway keeps its view of the whole.
   void advance(Micros now, Customer& c) {
     const double dt = double(now - c.at) / kSecond;
     if (dt <= 0) return;
@@ -190,9 +196,8 @@
   }
 
   // Demand arrives. Past the quota the slice is the quota times our own demand over the total: what room has
-  // not filled in comes with the demand itself, which is right for one request an hour too. Danger: demand
-  // grows with each request; paid by what it was before, large ones got a tenth more than the slice.
-  // Over the growth of the fading mean the pay comes to the slice over time: hence the logarithms.
+  // not filled in comes with the demand itself, also for one request an hour. Danger: demand grows with each
+  // request; paid by what it was before, large ones got a tenth more than the slice: hence the logarithms.
   void count(Micros now, Customer& c, double units) {
     advance(now, c);
     const double quota = c.rate, room = std::max(0.0, quota - c.others);
@@ -226,20 +231,17 @@
     if (to == &Customer::store) c.part += units;
   }
 
-  // Our fraction of the whole: own demand and an even part of the room that all leaves; past the quota the
-  // share of the demand.
+  // Our fraction of the whole: own demand and an even part of the room; past the quota our share of demand.
   double fraction(const Customer& c) const {
     const double all = c.own + c.others;
     if (all >= c.rate) return c.own / std::max(all, 1e-9);
     return (c.own + (c.rate - all) / c.set_size) / c.rate;
   }
-  // What is left in the store for a request of so much. Danger: between two totals all gateways of the set
-  // would spend the store that each of them sees, and a spike would go through as often as there are
+  // What is left in the store. Danger: between two totals a spike would go through as often as there are
   // gateways. Each spends its fraction; one request may go past it, or a small fraction held none.
   double in_store(const Customer& c) const { return c.part > 0 ? c.store : std::min(c.store, 0.0); }
 
-  // When the slice will have filled enough, or `least` has passed. Danger: a client that returns after the
-  // aim takes units from fresh requests and earns nothing; the advice stays short.
+  // When the slice will have filled enough. Danger: a client that returns after the aim earns nothing.
   Micros retry_after(const Customer& c, double units, Micros aim, Micros least) {
     const double fill = std::max({c.rate - c.others, c.rate * c.own / (c.own + c.others + 1e-9), 1e-6});
     const double lacking = std::max(0.0, units - std::max(c.store, c.credit)) / fill * kSecond;
@@ -253,10 +255,9 @@
     if (!settings_.has_counter || c.rate <= 0 || c.uncounted <= 0) return false;
     if (!known && c.calling > 0) return !silent();
     const double most = refill(now);
-    // The fewer calls are to spare, the more requests must one carry. Danger: customers met now and then by
-    // each of a hundred gateways would use up what the counter bears.
-    // Danger: in a period all gateways may each spend the store that they see. Who spends fast is told of
-    // sooner; while calls are short that would starve the others, and the period holds.
+    // The fewer calls are to spare, the more requests must one carry, or customers met now and then would use
+    // up what the counter bears. Danger: in a period all gateways may each spend the store that they see. Who
+    // spends fast is told of sooner, unless calls are short.
     const bool urgent = c.uncounted >= kUrgent * burst(c) && 2 * calls_ > most;
     if (c.calling > 0 || (known && now - c.called_at < (urgent ? kUrgentPeriod : kPeriod))) return false;
     if (calls_ < 1 || c.asks * (known ? kKnownWeight : 1) < most / calls_ - (1 - kKnownWeight)) return false;
@@ -300,15 +301,12 @@
       return e.second.read_at > 0 && now - e.second.read_at < 2 * kPeriod;
     });
     const Calls c = std::exchange(told_, {});
-    return "customers " + std::to_string(customers_.size()) + " (total of late " + std::to_string(known) +
-           "), calls ok " + std::to_string(c.ok) + " not added " + std::to_string(c.not_added) + " late " +
-           std::to_string(c.late) + " lost " + std::to_string(c.lost) + ", pace " +
-           std::to_string(int(call_rate_));
+    return join("customers ", customers_.size(), " (total of late ", known, "), calls ok ", c.ok,
+                " not added ", c.not_added, " late ", c.late, " lost ", c.lost, ", pace ", int(call_rate_));
   }
 
-  // While this gateway is several processes, each is one of a customer's set that is so many times larger: an
-  // even part of theirs is that much less, and the demand of the others comes with the totals. Danger: what
-  // was met by no request until now was not filled by our part alone; it fills anew.
+  // While this gateway is several processes, each is one of a customer's set that is so many times larger.
+  // Danger: what was met by no request until now was not filled by our part alone; it fills anew.
   void split(Micros now, int processes) {
     born_ = now;
     for (auto& [name, c] : customers_) c.set_size = c.set_size / processes_ * processes;
@@ -357,8 +355,8 @@
     double dt = double(now - c.seen_at) / kSecond;
     const double all = a.total - c.seen;
     if (c.seen <= 0) {
-      // Danger: a total of a counter that was just started or emptied is younger than its name. What totals
-      // amount to over all customers tells.
+      // Danger: a total of a counter that was just emptied is younger than its name. All customers' totals
+      // tell.
       could_ = kFreshKeep * could_ + c.rate * dt;
       had_ = kFreshKeep * had_ + all;
       if (had_ < kFresh * could_) dt = std::min(dt, double(now - born_) / kSecond);
@@ -372,8 +370,7 @@
 
       // Danger: a smoothed rate learns of a spike elsewhere when the store has long been spent there. What
       // was asked beyond what was assumed leaves the store at once, and what was not comes back; up to a
-      // second's debt, for others' calls are late too. It also rights what lost calls and old totals did to
-      // the view. Harm: demand that others refused counts too; after a spike the customer waits that second.
+      // second's debt, for others' calls are late too. Harm: demand that others refused counts too.
       const double asked = all - c.added, least = std::min(c.store, -c.rate);
       if (!first) c.store = std::min(depth(c), std::max(least, c.store + c.drawn - asked));
       c.others += (1 - std::exp(-dt / memory(c))) * (asked / dt - c.others);
@@ -382,7 +379,7 @@
         const double asked = (c.others + amount / std::max(dt, memory(c))) / c.rate;
         const double full = std::clamp((1 - asked) / (1 - kIdleGuess), 0.0, 1.0);
         c.store = burst(c) * full;
-        if (full <= 0) c.credit = c.last_units * (uniform() + 1 / asked);
+        if (full <= 0) c.credit = c.last_units * (uniform(random_) + 1 / asked);
       }
       c.part = fraction(c) * std::max(0.0, c.store);
       c.read_at = now;
@@ -394,22 +391,19 @@
   }
 
   // Danger: a counter asked more than it can serve answers next to nobody; every gateway sees that alike and
-  // slows down alike. After a silence the pace is found anew. A call that is lost at once, under a reset or a
-  // reply without a number, tells of its connection and not of the line at the counter: the pace stays. Harm:
-  // a counter that sheds load by resets is asked on at that pace, until kDownAfter are lost in a row.
+  // slows down alike. A call that is lost at once, under a reset or a reply without a number, tells of its
+  // connection and not of the line at the counter: the pace stays, until kDownAfter are lost in a row.
   void pace(const CounterAnswered& a) {
     const bool ok = a.outcome == CountOutcome::kOk, unknown = a.outcome == CountOutcome::kUnknown;
     const bool back = ok && silent(), slow = 2 * a.duration > settings_.counter_timeout;
     ++(ok ? told_.ok : !unknown ? told_.not_added : slow ? told_.late : told_.lost);
     if (in_a_row_ == 0) good_rate_ = call_rate_;
-    // Danger: calls on a connection that went silent come late one and all, which says nothing of the line at
-    // the counter; at the pace that they cut it to, it takes seconds more until totals are young again.
+    // Danger: calls on a connection that went silent come late one and all, whatever the line at the counter.
     if (back) call_rate_ = std::max(call_rate_, kPaceBack * good_rate_);
     in_a_row_ = ok ? 0 : in_a_row_ + 1;
     if (unknown && !slow && !silent()) return;
     crowd_ = back ? 0 : crowd_ + kCrowdGain * ((unknown ? kLateWeight : ok && !slow ? 0 : 1) - crowd_);
-    // Danger: a pace that grew while half of it lay idle says nothing of what the counter bears. All gateways
-    // would meet it at such a pace after a silence, each with calls for every customer.
+    // Danger: a pace that grew unused says nothing of what the counter bears; all would meet it at once.
     const bool grows = 2 * calls_ < std::max(first_calls(), call_rate_);
     if (crowd_ > 0) {
       const double change = kPaceGain / std::max(1.0, call_rate_) * (1 - crowd_ / kCrowded);
@@ -431,8 +425,6 @@
     calls_at_ = now;
     return most;
   }
-  double uniform() { return double((random_ = mix(random_)) >> 11) * 0x1p-53; }
-
   const Settings& settings_;
   std::uint64_t random_;
   double call_rate_ = first_calls(), calls_ = first_calls();
@@ -453,12 +445,12 @@
 
 // ---- 2. Ceilings and open caps ------------------------------------------------------------------------
 // Danger: the ceiling is a rule, and no total is young enough to tell what others send on at this moment.
-// Danger: even parts alone are safe but refuse a customer well inside its quota whose traffic comes through
-// one gateway, or who was just met: a part starts empty, for a predecessor may have spent it. So even parts
-// share only kEvenCeiling of the ceiling. The rest is drawn from the counter, first come, first served: under
-// a name for the customer and this window each gateway adds what it is about to send on, and what lies within
-// the window's pool is its own until the window ends. A span of t touches t / window + 2 windows at the most;
-// with a window of half the burst over the rate, and half the burst as its pool, that is the ceiling itself.
+// Danger: even parts alone refuse a customer inside its quota whose traffic comes through one gateway, or who
+// was just met: a part starts empty, for a predecessor may have spent it. So even parts share kEvenCeiling of
+// it. The rest is drawn from the counter: under a name for the customer and this window each gateway adds
+// what it is about to send on, and what lies within the window's pool is its own until the window ends. A
+// span of t touches t / window + 2 windows; with half the burst over the rate as a window, half the burst is
+// its pool.
 class Ceilings {
  public:
   explicit Ceilings(const Settings& settings) : settings_(settings) {}
@@ -503,8 +495,7 @@
     return true;
   }
 
-  // Returns the customer, if the call was one of ours. What may or may not have been added is not ours to
-  // use.
+  // Returns the customer, if the call was one of ours. What may or may not have been added is not used.
   Customer* answered(Micros now, const CounterAnswered& a) {
     const auto found = pending_.find(a.name);
     if (found == pending_.end()) return nullptr;
@@ -593,13 +584,13 @@
     return std::clamp(settings_.cold_share + (1 - settings_.cold_share) * age, settings_.cold_share, 1.0);
   }
 
-  // Danger: a cold server sent too much falls over for good. Over any window we stay within our own part
-  // of what it can bear, taking what we send a warm peer for our part of a warm server's load.
+  // Danger: a cold server sent too much falls over for good. We stay within our own part of what it can bear,
+  // taking what we send a warm peer for our part of a warm server's load.
   bool cold_covers(Micros now, Server& s, double work) {
     const double warm = warmth(now, s);
     if (warm >= 1) return true;
-    // Where our part is less than one request, requests are so much further apart; with nothing observed
-    // yet, so far that all gateways together send one a window.
+    // Where our part is less than one request, requests are so much further apart; at a start by all
+    // gateways.
     const double window = double(settings_.cold_window), n = settings_.gateways * processes_;
     const double budget =
         kColdSafety * settings_.cold_multiple * warm * peer_rate_ * weight(s) * window / kSecond / processes_;
@@ -621,8 +612,8 @@
     return std::max(r, double(now - s.owing_since) / (kAgeDoubt * mean));
   }
 
-  // The server where an attempt of so much work should end soonest, or none with room.
-  // `allowed` filters; `mean` is the fleet's mean answer time.
+  // The server where an attempt should end soonest, or none with room; `mean` is the fleet's mean answer
+  // time.
   template <typename Filter>
   Server* choose(Micros now, double work, double mean, Filter allowed) {
     int listed = 0, ejected = 0;
@@ -649,7 +640,7 @@
       if (s.entry.zone != settings_.zone) cost *= kZoneBias;
 
       const double last = s.ejected_until > now ? kLastResort : 1;
-      draws.emplace_back(-std::log(1 - uniform()) / speed * last, cost * last, &s);
+      draws.emplace_back(-std::log(1 - uniform(random_)) / speed * last, cost * last, &s);
     }
     const std::size_t few = std::min(draws.size(), std::size_t(kDraws + listed / settings_.gateways));
     std::partial_sort(draws.begin(), draws.begin() + std::ptrdiff_t(few), draws.end());
@@ -689,8 +680,8 @@
     if (s.out == attempts) s.owing_since = now;
   }
 
-  // An attempt came back. `ratio`: its time over its class's mean; `over_aim`: over its class's aim.
-  // Danger: a sick server that answers errors at once looks like the fastest, and its fleet like an idle one.
+  // `ratio`: its time over its class's mean; `over_aim`: over its class's aim. Danger: a sick server that
+  // answers errors at once looks like the fastest.
   bool ended(Micros now, Server& s, Outcome o, double ratio, double over_aim, double mean, bool blame,
              const LoadReport& load) {
     const bool answered = o == Outcome::kOk || o == Outcome::kError;
@@ -721,8 +712,7 @@
     return servers_.count(server) > 0 && fails(now, servers_.at(server));
   }
 
-  // Once a period: what a warm peer of weight one was sent a second, for the cold servers' budgets. Those
-  // long gone are forgotten. Danger: an open request may still name one.
+  // Once a period: what a warm peer of weight one was sent a second. Danger: open requests may name old ones.
   void look(Micros now) {
     double work = 0, weights = 0;
     for (auto& [name, s] : servers_) {
@@ -737,8 +727,8 @@
     if (weights > 0) peer_rate_ += 0.3 * (work / weights / (kPeriod / kSecond) - peer_rate_);
   }
 
-  // For the log: attempts out of those that may be, answer times now and when idle, over their aims, and how
-  // attempts ended since last asked.
+  // For the log: attempts out and allowed, answer times now and when idle, over their aims, and how they
+  // ended.
   std::string state(Micros now) {
     const auto out = std::count_if(servers_.begin(), servers_.end(),
                                    [now](const auto& e) { return e.second.ejected_until > now; });
@@ -746,12 +736,10 @@
     static constexpr const char* kNames[] = {" ok ",        " error ",       " full ",
                                              " late ",      " unconnected ", " reset ",
                                              " cancelled ", " not sent ",    " blamed "};
-    std::string text = "out " + std::to_string(out_) + " of " + std::to_string(even()) + ", answers " +
-                       std::to_string(norm_) + " idle " + std::to_string(base_) + ", ejected " +
-                       std::to_string(out) + " of " + std::to_string(servers_.size()) + ", " +
-                       std::to_string(e.ejected) + " times, ended:";
+    std::string text = join("out ", out_, " of ", even(), ", answers ", norm_, " idle ", base_, ", ejected ",
+                            out, " of ", servers_.size(), ", ", e.ejected, " times, ended:");
     for (std::size_t i = 0; i < e.by_outcome.size(); ++i)
-      if (e.by_outcome[i] > 0) text += kNames[i] + std::to_string(e.by_outcome[i]);
+      if (e.by_outcome[i] > 0) text += join(kNames[i], e.by_outcome[i]);
     return text;
   }
 
@@ -765,8 +753,6 @@
   }
 
  private:
-  double uniform() { return double((random_ = mix(random_)) >> 11) * 0x1p-53; }
-
   // True if it is ejected now.
   bool fails(Micros now, Server& s) {
     if ((++s.failures < kEjectAfter && !s.on_trial) || s.ejected_until > now) return false;
@@ -776,9 +762,8 @@
   }
 
   // Danger: with more gateways than servers an even part is less than one. More go out when demand by chance
-  // asks for it, and are paid for out of the room that was left in the last second. Danger: paid by a stop,
-  // with less than an even part out, the dear requests that wait run out of time meanwhile, and the next room
-  // comes in one lot that goes to whoever is there. So an even part may be out at any time.
+  // asks for it, paid for out of the room left in the last second. Danger: paid by a stop, the dear requests
+  // that wait run out of time, and the next room goes to whoever is there. An even part may always be out.
   bool has_room(Micros now) {
     settle(now);
     return out_ + 1 <= even() || (room_ > 0 && out_ < 1 + even() + kSpread * std::sqrt(even()));
@@ -788,9 +773,8 @@
     room_at_ = now;
   }
 
-  // Danger: servers that hold too much lose speed, answers come late, work is wasted and the jam feeds
-  // itself. What all our attempts take, against what they took when servers were idle, bounds how many
-  // may be out. A slow single server is not the fleet's: it is left to `slowness`.
+  // Danger: servers that hold too much lose speed, and the jam feeds itself. What all our attempts take,
+  // against what they took when servers were idle, bounds how many may be out.
   void adapt(Micros now, Outcome o, bool timed, double over_aim, double mean) {
     if (timed) {
       // Danger: a few attempts lost or far heavier than the rest are no sign of a full fleet.
@@ -894,6 +878,14 @@
 
  private:
   void emit(Action action) { out_->push_back(std::move(action)); }
+  void arm(const Request& r, int what, Micros at) {
+    timers_[++timer_] = {r.id, what};
+    emit(SetTimer{at, timer_});
+  }
+  Request* find(const std::string& id) {
+    const auto it = requests_.find(id);
+    return it != requests_.end() ? &it->second : nullptr;
+  }
 
   void log(const std::string& kind, const std::string& text) {
     auto [it, fresh] = logged_.try_emplace(kind, now_);
@@ -904,13 +896,12 @@
 
   void on(const ServerListUpdate& e) { servers_.update(now_, e); }
   void on(const StreamStarted& e) {
-    auto it = requests_.find(e.id);
-    if (it != requests_.end()) it->second.done = true;  // the attempt is the client's now
+    if (Request* r = find(e.id)) r->done = true;  // the attempt is the client's now
   }
   void on(const AttemptWritten& e) {
-    const auto it = requests_.find(e.id);
-    if (it == requests_.end()) return;
-    Attempt& a = it->second.attempts.at(std::size_t(e.attempt));
+    Request* r = find(e.id);
+    if (!r) return;
+    Attempt& a = r->attempts.at(std::size_t(e.attempt));
     if (a.out && !std::exchange(a.with_server, true)) servers_.occupy(now_, *a.server, 1);
   }
   void on(const ProbeEnded&) {}
@@ -933,8 +924,7 @@
   void fill_ceilings() {
     slices_.each([this](Customer& c) { ceilings_.covers(now_, c, 0); });
   }
-  // Customers and open requests hold plans and classes: plans change in place, and a class that has changed
-  // is another one, of which the answers so far tell too.
+  // Customers and open requests hold plans and classes: plans change in place, a changed class is another.
   void settings_changed() {
     settings_.gateways = std::max(1, settings_.gateways);
     for (const PlanSettings& p : settings_.plans) plans_[p.name] = p;
@@ -956,14 +946,14 @@
 
   void decide_all(std::vector<std::string>& waiting) {
     for (const std::string& id : std::exchange(waiting, {}))
-      if (auto it = requests_.find(id); it != requests_.end() && it->second.waits) decide(it->second);
+      if (Request* r = find(id); r && r->waits) decide(*r);
   }
 
   void on(const ClientGone& e) {
-    auto it = requests_.find(e.id);
-    if (it == requests_.end()) return;
-    finish(it->second);
-    forget(it);
+    Request* r = find(e.id);
+    if (!r) return;
+    finish(*r);
+    forget(*r);
   }
 
   void on(const TimerFired& e) {
@@ -972,10 +962,10 @@
     if (found == timers_.end()) return;
     const auto [id, attempt] = found->second;
     timers_.erase(found);
-    auto it = requests_.find(id);
-    if (it == requests_.end() || it->second.done) return;
-    if (attempt >= 0) doubt(it->second, attempt);
-    if (attempt == kDecide && it->second.waits) decide(it->second);
+    Request* r = find(id);
+    if (!r || r->done) return;
+    if (attempt >= 0) doubt(*r, attempt);
+    if (attempt == kDecide && r->waits) decide(*r);
   }
 
   void look() {
@@ -992,11 +982,9 @@
     told_at_ = now_;
     const Refusals r = std::exchange(refusals_, {});
     if (r.slice + r.ceiling + r.servers == 0) return;
-    log("refused", "slice " + std::to_string(r.slice) + " (no total " + std::to_string(r.blind) +
-                       ", demand within quota " + std::to_string(r.within) + "), ceiling " +
-                       std::to_string(r.ceiling) + " (slice had it " + std::to_string(r.sliced) +
-                       "), servers " + std::to_string(r.servers) + " of " + std::to_string(r.asked) + "; " +
-                       slices_.state(now_) + "; " + servers_.state(now_));
+    log("refused", join("slice ", r.slice, " (no total ", r.blind, ", demand within quota ", r.within,
+                        "), ceiling ", r.ceiling, " (slice had it ", r.sliced, "), servers ", r.servers,
+                        " of ", r.asked, "; ", slices_.state(now_), "; ", servers_.state(now_)));
   }
 
   void on(const RequestArrived& e) {
@@ -1021,8 +1009,8 @@
     r.value = cls->worth * plan->price * e.units / r.expected;
     r.arrived = now_;
     r.give_up = cls->late_worth > 0 ? e.deadline : std::min(e.deadline, now_ + cls->aim);
-    // Danger: where each of a hundred gateways meets a customer now and then, none would ever know a total
-    // when it is needed. The first request waits for it, a counter's time-out at most.
+    // Danger: gateways that meet a customer now and then would never know a total in time. The first one
+    // waits.
     if (slices_.call(now_, e.customer, c, *out_) && may_wait(r))
       wait(r, c.waiting);
     else
@@ -1037,8 +1025,7 @@
   void wait(Request& r, std::vector<std::string>& line) {
     r.waits = true;
     line.push_back(r.id);
-    timers_[++timer_] = {r.id, kDecide};
-    emit(SetTimer{r.arrived + settings_.counter_timeout + settings_.tick, timer_});
+    arm(r, kDecide, r.arrived + settings_.counter_timeout + settings_.tick);
   }
 
   // Within the slice or not? Refused at once if not.
@@ -1064,7 +1051,7 @@
       const Micros room = under_ceiling ? 0 : ceilings_.room_in(now_, c, r.units);
       emit(Refuse{r.id, slices_.retry_after(c, r.quota_units, r.cls->aim, room)});
       finish(r);
-      return forget(requests_.find(r.id));
+      return forget(r);
     }
     r.over = !within;
     if (within) r.taken_from = slices_.take(c, r.quota_units);
@@ -1073,7 +1060,7 @@
     if (!in_line && send(r)) return;
     if (within) return hold(r);
     end(r);
-    forget(requests_.find(r.id));
+    forget(r);
   }
 
   static double mean_of(const Class& cls) { return cls.mean > 0 ? cls.mean : double(cls.aim) / 6; }
@@ -1128,12 +1115,10 @@
   void watch(const Request& r, int attempt, Micros after) {
     after = std::max(after, kDoubtLeast);
     if (now_ + after >= r.give_up) return;
-    timers_[++timer_] = {r.id, attempt};
-    emit(SetTimer{now_ + after, timer_});
+    arm(r, attempt, now_ + after);
   }
 
-  // An attempt takes long. It is taken back only when its server has answered nothing since, which tells a
-  // stalled server from a heavy request.
+  // An attempt takes long. Taken back only when its server has answered nothing since: stalled, not heavy.
   void doubt(Request& r, int index) {
     Attempt& a = r.attempts[std::size_t(index)];
     if (!a.out || a.blamed) return;
@@ -1148,9 +1133,9 @@
   }
 
   void on(const AttemptEnded& e) {
-    auto it = requests_.find(e.id);
-    if (it == requests_.end() || e.attempt < 0 || e.attempt >= int(it->second.attempts.size())) return;
-    Request& r = it->second;
+    Request* found = find(e.id);
+    if (!found || e.attempt < 0 || e.attempt >= int(found->attempts.size())) return;
+    Request& r = *found;
     Attempt& a = r.attempts[std::size_t(e.attempt)];
     if (!a.out) return;
     a.out = false;
@@ -1175,14 +1160,14 @@
                          (e.outcome == O::kReset && double(e.duration) < kAtOnce * r.expected);
       const bool again = (cheap || retries_ >= 1) && int(r.attempts.size()) < most_attempts(r);
       if (again && !cheap) retries_ -= 1;
-      // Danger: a keyed request that may have run has few servers to go to. They are soon all taken, and it
-      // would fail for good with most of its time left. Harm: at servers that stay full it fails that later.
+      // Danger: a keyed request that may have run has few servers to go to; all taken, it would fail for
+      // good.
       if (again && !send(r) && servers_.any(now_, [&](const Server& to) { return may_go(r, to); }))
         hold(r);
       else if (r.out == 0)
         end(r);
     }
-    forget(it);
+    forget(r);
   }
 
   // The one final answer of a request that no server will answer.
@@ -1199,8 +1184,8 @@
 
   void finish(Request& r) {
     r.done = true;
-    // What was never sent on took nothing of the quota. Danger: while servers are full the units of all that
-    // waits here in vain would be gone, and the slice would refuse those that servers do have room for.
+    // What was never sent on took nothing. Danger: while servers are full, units of all that waits in vain
+    // would be gone.
     const auto from = std::exchange(r.taken_from, nullptr);
     if (from && r.attempts.empty()) slices_.give_back(*r.customer, from, r.quota_units);
     if (!settings_.may_cancel) return;
@@ -1208,8 +1193,8 @@
       if (r.attempts[i].out && !r.cls->streamed) emit(CancelAttempt{r.id, int(i)});
   }
 
-  void forget(std::unordered_map<std::string, Request>::iterator it) {
-    if (it->second.done && it->second.out == 0 && !it->second.held) requests_.erase(it);
+  void forget(const Request& r) {
+    if (r.done && r.out == 0 && !r.held) requests_.erase(requests_.find(r.id));
   }
 
   // ---- 5. Overload ------------------------------------------------------------------------------------
@@ -1219,11 +1204,10 @@
     r.held = true;
     held_.push_back(r.id);
     log("full", "servers are full; requests wait or are refused");
-    timers_[++timer_] = {r.id, kWake};
     const Micros since = r.attempts.empty() ? r.arrived : now_;
     r.hold_until = std::min(r.give_up - std::max(settings_.tick, Micros(kNeed * r.expected)),
                             since + Micros(kHoldShare * double(r.cls->aim)));
-    emit(SetTimer{r.hold_until, timer_});
+    arm(r, kWake, r.hold_until);
   }
 
   void drain_held() {
@@ -1234,12 +1218,10 @@
     std::vector<std::string> keep;
     double ahead = 0;  // us of answers that dearer ones will take
     for (const std::string& id : held_) {
-      auto it = requests_.find(id);
-      Request& r = it->second;
+      Request& r = requests_.at(id);
       r.held = false;
       if (!r.done && !send(r)) {
-        // Who stands behind more than will go out in its time is told so at once. Danger: it would wait in
-        // vain, and its client has that much less time left to come back.
+        // Danger: who stands behind more than will go out in its time would wait in vain: told so at once.
         if (double(now_) + ahead / servers_.even() < double(r.hold_until)) {
           ahead += r.expected;
           r.held = true;
@@ -1248,7 +1230,7 @@
         }
         end(r);
       }
-      forget(it);
+      forget(r);
     }
     held_.swap(keep);
   }
