Give each gateway an even part of the servers, widened while they are unfit

Each gateway met a server once in 10 to 20 s, so that none learnt of it, and each server gave them 100 connections to shake hands for. Ruled out: a full fleet (other servers answered 95%, room was 2 of 2.5 attempts a gateway), and the tie-break of choose(), which looked at all servers alike; choose() is at fault, which drew from the whole list. The part is a stretch of a ring of hashed ids that begins at multiples of the golden ratio, so about ten gateways share a server however many there are.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -20,10 +20,11 @@
 namespace {
 
 // ---- Tuned values -------------------------------------------------------------------------------------
-constexpr double kSecond = 1e6;                // microseconds
-constexpr Micros kPeriod = 1'000'000;          // us; the design's "about a second" between re-splits
-constexpr Micros kUrgentPeriod = kPeriod / 8;  // us; the least for a customer who spends fast
-constexpr double kUrgent = 0.1;                // of the burst, asked here since the last call, is fast
+constexpr double kSecond = 1e6;                 // microseconds
+constexpr double kGolden = 0.6180339887498949;  // multiples of it, round a ring, lie evenly and far apart
+constexpr Micros kPeriod = 1'000'000;           // us; the design's "about a second" between re-splits
+constexpr Micros kUrgentPeriod = kPeriod / 8;   // us; the least for a customer who spends fast
+constexpr double kUrgent = 0.1;                 // of the burst, asked here since the last call, is fast
 constexpr double kMaxHorizon = 5;         // s; longest smoothing of others' demand, even for a deep burst
 constexpr Micros kEpoch = 16 * kPeriod;   // a counter name serves so long; a new one frees a lost count
 constexpr Micros kKnownFor = 4 * kEpoch;  // a customer or a total older than this is forgotten
@@ -48,6 +49,8 @@
 constexpr double kPaceGain = 0.2;       // of the pace, a second, up while calls are answered
 constexpr double kPaceBack = 0.5;       // of the pace before a silence, after it
 constexpr int kDownAfter = 6;        // failed calls in a row: down; nobody waits, and its pace is found anew
+constexpr double kSharers = 10;      // gateways that share a server, about, where there are more
+constexpr double kLeastPart = 6;     // servers that a gateway uses, at the least
 constexpr int kDraws = 2;            // servers compared for an attempt, and our part of them
 constexpr double kZoneBias = 1.08;   // a server elsewhere must look so much better to be worth crossing
 constexpr double kPriorSamples = 8;  // answers' worth of "as good as its peers" behind each estimate
@@ -113,7 +116,7 @@
   std::uint64_t key = 0;
   int set_size = 1;
   double rate = 0;  // of the quota: units, or attempt-seconds under an open cap, a second
-  Micros last_use = 0;
+  Micros last_use = 0, called_at = 0;
   Micros at = 0;         // up to when own demand has faded and the store has filled
   double own = 0;        // units a second asked here, refused requests included; fading mean
   double others = 0;     // units a second asked elsewhere, as last measured
@@ -124,7 +127,6 @@
   double uncounted = 0;  // units asked here that no call has carried yet
   int asks = 0;          // requests that they came in
   double last_units = 0;
-  Micros called_at = 0;
   Micros read_at = 0;      // last believed total; 0: none
   std::int64_t epoch = 0;  // the counter name that `seen` belongs to
   double seen = 0;         // its total when last read
@@ -355,8 +357,7 @@
     double dt = double(now - c.seen_at) / kSecond;
     const double all = a.total - c.seen;
     if (c.seen <= 0) {
-      // Danger: a total of a counter that was just emptied is younger than its name. All customers' totals
-      // tell.
+      // Danger: a total of a counter that was just emptied is younger than its name; all totals tell.
       could_ = kFreshKeep * could_ + c.rate * dt;
       had_ = kFreshKeep * had_ + all;
       if (had_ < kFresh * could_) dt = std::min(dt, double(now - born_) / kSecond);
@@ -449,8 +450,7 @@
 // was just met: a part starts empty, for a predecessor may have spent it. So even parts share kEvenCeiling of
 // it. The rest is drawn from the counter: under a name for the customer and this window each gateway adds
 // what it is about to send on, and what lies within the window's pool is its own until the window ends. A
-// span of t touches t / window + 2 windows; with half the burst over the rate as a window, half the burst is
-// its pool.
+// span of t touches t / window + 2 windows; with half the burst over the rate as a window, it holds as much.
 class Ceilings {
  public:
   explicit Ceilings(const Settings& settings) : settings_(settings) {}
@@ -544,6 +544,7 @@
   std::deque<std::pair<Micros, double>> cold_sends;  // when and how much work, in the cold window
   double carried = 0;                                // work sent since the last look
   Micros known_at = 0;                               // last told of, or usable
+  std::uint64_t place = 0;                           // in the order that all gateways see
 };
 
 class Servers {
@@ -574,7 +575,29 @@
         s.on_trial = false;
         s.ratio_sum = s.ratio_weight = 0;
       }
+      s.place = hash_text(e.server);
     }
+    ring_.clear();
+    for (auto& [name, s] : servers_)
+      if (s.usable) ring_.push_back(&s);
+    std::sort(ring_.begin(), ring_.end(),
+              [](const Server* a, const Server* b) { return a->place < b->place; });
+  }
+
+  // Our part of the servers, a stretch of a ring that all gateways see alike. Danger: each of a hundred
+  // gateways would shake hands with every server, and meet it too seldom to learn that it is sick. The
+  // stretches begin at even distances, neighbours' far apart, and go on until enough of theirs is fit.
+  std::vector<Server*> part(Micros now) const {
+    std::vector<Server*> out;
+    const double n = double(ring_.size()), at = settings_.position * kGolden;
+    const double enough = std::max(kLeastPart, std::ceil(n * kSharers / settings_.gateways));
+    const auto first = std::size_t(n * (at - std::floor(at)));
+    double fit = 0;
+    for (std::size_t i = 0; i < ring_.size() && fit < enough; ++i) {
+      out.push_back(ring_[(first + i) % ring_.size()]);
+      if (out.back()->ejected_until <= now && !out.back()->on_trial) fit += warmth(now, *out.back());
+    }
+    return out;
   }
 
   // The least share of its full capacity that the server can have by now.
@@ -589,9 +612,8 @@
   bool cold_covers(Micros now, Server& s, double work) {
     const double warm = warmth(now, s);
     if (warm >= 1) return true;
-    // Where our part is less than one request, requests are so much further apart; at a start by all
-    // gateways.
-    const double window = double(settings_.cold_window), n = settings_.gateways * processes_;
+    // Where our part is less than one request, requests are so much further apart.
+    const double window = double(settings_.cold_window), n = sharers_ * processes_;
     const double budget =
         kColdSafety * settings_.cold_multiple * warm * peer_rate_ * weight(s) * window / kSecond / processes_;
     const double span = window * std::clamp(work / std::max(budget, 1e-9), 1.0, n);
@@ -612,25 +634,26 @@
     return std::max(r, double(now - s.owing_since) / (kAgeDoubt * mean));
   }
 
-  // The server where an attempt should end soonest, or none with room; `mean` is the fleet's mean answer
-  // time.
+  // The server where an attempt should end soonest, or none with room; `mean` is an answer's time.
   template <typename Filter>
   Server* choose(Micros now, double work, double mean, Filter allowed) {
-    int listed = 0, ejected = 0;
-    double weights = 0;
-    for (const auto& [name, s] : servers_) {
-      if (s.usable) ++(s.ejected_until > now ? ejected : listed);
-      if (s.usable && s.ejected_until <= now) weights += weight(s) * warmth(now, s);
-    }
+    const auto ejected =
+        std::count_if(ring_.begin(), ring_.end(), [now](const Server* s) { return s->ejected_until > now; });
+    listed_ = int(ring_.size()) - int(ejected);
     // Danger: a whole zone gone may be more than may be ejected; its servers then come last, not in turn.
-    const bool last_resort = ejected > kMaxEjected * (listed + ejected);
-    listed_ = listed;
+    const bool last_resort = double(ejected) > kMaxEjected * double(ring_.size());
+    const std::vector<Server*> ours = part(now);
+    sharers_ = settings_.gateways * double(ours.size()) / std::max(1.0, double(ring_.size()));
+    double weights = 0;
+    for (const Server* s : ours)
+      if (s->ejected_until <= now) weights += weight(*s) * warmth(now, *s);
     if (!has_room(now)) return nullptr;
     // Danger: gateways that see little of what servers hold all pick the one that looks best, and the slower
     // ones lie idle. A few are drawn by speed, the fewer the less of the load is our own; the best of those.
     std::vector<std::tuple<double, double, Server*>> draws;  // key, cost
-    for (auto& [name, s] : servers_) {
-      if (!s.usable || !allowed(s)) continue;
+    for (Server* to : ours) {
+      Server& s = *to;
+      if (!allowed(s)) continue;
       if ((s.ejected_until > now && !last_resort) || (s.on_trial && s.out > 0)) continue;
       const double slow = slowness(now, s, mean), speed = weight(s) * warmth(now, s) / slow;
       if (s.out >= std::max(1.0, std::round(kUneven * even() / weights * speed))) continue;
@@ -638,11 +661,10 @@
       const double others = s.others * fade(now - s.report_at, kReportMemory);
       double cost = (s.out + others + 1) / speed;
       if (s.entry.zone != settings_.zone) cost *= kZoneBias;
-
       const double last = s.ejected_until > now ? kLastResort : 1;
       draws.emplace_back(-std::log(1 - uniform(random_)) / speed * last, cost * last, &s);
     }
-    const std::size_t few = std::min(draws.size(), std::size_t(kDraws + listed / settings_.gateways));
+    const std::size_t few = std::min(draws.size(), std::size_t(kDraws + listed_ / settings_.gateways));
     std::partial_sort(draws.begin(), draws.begin() + std::ptrdiff_t(few), draws.end());
     const auto best =
         std::min_element(draws.begin(), draws.begin() + std::ptrdiff_t(few),
@@ -715,11 +737,12 @@
   // Once a period: what a warm peer of weight one was sent a second. Danger: open requests may name old ones.
   void look(Micros now) {
     double work = 0, weights = 0;
-    for (auto& [name, s] : servers_) {
-      if (s.usable && warmth(now, s) >= 1 && s.ejected_until <= now) {
-        work += s.carried;
-        weights += weight(s);
+    for (const Server* s : part(now))
+      if (warmth(now, *s) >= 1 && s->ejected_until <= now) {
+        work += s->carried;
+        weights += weight(*s);
       }
+    for (auto& [name, s] : servers_) {
       s.carried = 0;
       if (s.usable) s.known_at = now;
     }
@@ -727,8 +750,7 @@
     if (weights > 0) peer_rate_ += 0.3 * (work / weights / (kPeriod / kSecond) - peer_rate_);
   }
 
-  // For the log: attempts out and allowed, answer times now and when idle, over their aims, and how they
-  // ended.
+  // For the log: attempts out and allowed, answer times now and when idle over their aims, and ends.
   std::string state(Micros now) {
     const auto out = std::count_if(servers_.begin(), servers_.end(),
                                    [now](const auto& e) { return e.second.ejected_until > now; });
@@ -796,6 +818,8 @@
   const Settings& settings_;
   std::uint64_t random_;
   std::map<std::string, Server> servers_;
+  std::vector<Server*> ring_;  // the usable ones
+  double sharers_ = 1;         // gateways that use a server
   Micros forget_after_ = kKnownFor;
   double limit_ = 0, norm_ = 0, slow_norm_ = 0, base_ = 0;
   int answers_ = 0;
@@ -865,10 +889,8 @@
   void handle(Micros now, const std::vector<Event>& events, std::vector<Action>& out) {
     now_ = now;
     out_ = &out;
-    if (!started_) {
-      started_ = true;
-      next_look_ =
-          now + 1 + Micros(mix(seed_) % std::uint64_t(kPeriod));  // gateways look at times of their own
+    if (next_look_ == 0) {  // gateways look at times of their own
+      next_look_ = now + 1 + Micros(mix(seed_) % std::uint64_t(kPeriod));
       emit(SetTimer{next_look_, kLook});
     }
     for (const Event& e : events) std::visit([this](const auto& x) { on(x); }, e);
@@ -1009,8 +1031,7 @@
     r.value = cls->worth * plan->price * e.units / r.expected;
     r.arrived = now_;
     r.give_up = cls->late_worth > 0 ? e.deadline : std::min(e.deadline, now_ + cls->aim);
-    // Danger: gateways that meet a customer now and then would never know a total in time. The first one
-    // waits.
+    // Danger: gateways that meet a customer seldom would never know a total in time. The first one waits.
     if (slices_.call(now_, e.customer, c, *out_) && may_wait(r))
       wait(r, c.waiting);
     else
@@ -1160,8 +1181,7 @@
                          (e.outcome == O::kReset && double(e.duration) < kAtOnce * r.expected);
       const bool again = (cheap || retries_ >= 1) && int(r.attempts.size()) < most_attempts(r);
       if (again && !cheap) retries_ -= 1;
-      // Danger: a keyed request that may have run has few servers to go to; all taken, it would fail for
-      // good.
+      // Danger: a keyed request that may have run has few servers to go to, which are soon all taken.
       if (again && !send(r) && servers_.any(now_, [&](const Server& to) { return may_go(r, to); }))
         hold(r);
       else if (r.out == 0)
@@ -1184,8 +1204,7 @@
 
   void finish(Request& r) {
     r.done = true;
-    // What was never sent on took nothing. Danger: while servers are full, units of all that waits in vain
-    // would be gone.
+    // What was never sent on took nothing. Danger: units of all that waits in vain would be gone.
     const auto from = std::exchange(r.taken_from, nullptr);
     if (from && r.attempts.empty()) slices_.give_back(*r.customer, from, r.quota_units);
     if (!settings_.may_cancel) return;
@@ -1256,7 +1275,6 @@
   std::vector<Action>* out_ = nullptr;
   std::int64_t timer_ = 1;
   double retries_ = kRetryBurst;
-  bool started_ = false;
 };
 
 Gateway::Gateway(Settings settings, std::uint64_t seed)
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -837,6 +837,97 @@
   EXPECT_TRUE(all<Refuse>(late).empty());
 }
 
+// Gateways that each serve what comes to them; which servers each has sent to.
+struct Servants {
+  Servants(int gateways, int servers, Settings settings = basic_settings()) {
+    for (int i = 0; i < servers; ++i) names.push_back(label("s", i));
+    settings.gateways = gateways;
+    settings.plans[0].rate = settings.plans[0].burst = 1e6;
+    for (int i = 0; i < gateways; ++i) {
+      settings.position = i;
+      all.emplace_back(settings, Driver::up(names), std::uint64_t(100 + i));
+    }
+    met.resize(all.size());
+  }
+  // One request at each gateway, answered with what `how` says of its server.
+  void round(Micros now, const std::function<Outcome(const std::string&)>& how) {
+    for (std::size_t i = 0; i < all.size(); ++i) {
+      all[i].run(now);
+      auto sends = cottonroad::all<SendAttempt>(all[i].arrive(now, label("r", now)));
+      for (int attempt = 0; !sends.empty(); ++attempt) {
+        met[i].insert(sends[0].server);
+        ++sent[sends[0].server];
+        sends = cottonroad::all<SendAttempt>(
+            all[i].end(now + kMs, sends[0], how(sends[0].server), attempt, 20 * kMs));
+      }
+    }
+  }
+  std::vector<std::string> names;
+  std::vector<Driver> all;
+  std::vector<std::set<std::string>> met;
+  std::map<std::string, int> sent;
+};
+
+TEST(Subset, AFleetsConnectionsStayBoundedAndEvenAsGatewaysAreAdded) {
+  // Guards against a hundred gateways that each open to each of sixty servers.
+  for (const int gateways : {2, 10, 40, 100, 200}) {
+    Servants fleet(gateways, 60);
+    for (int i = 1; i <= (gateways > 10 ? 200 : 1'000); ++i)
+      fleet.round(i * 50 * kMs, [](const auto&) { return Outcome::kOk; });
+    std::map<std::string, int> users;
+    for (const auto& met : fleet.met) {
+      EXPECT_GE(met.size(), 6u);
+      for (const auto& server : met) ++users[server];
+    }
+    EXPECT_EQ(users.size(), 60u) << gateways;  // none is left out
+    int least = gateways, most = 0;
+    for (const auto& [server, n] : users) least = std::min(least, n), most = std::max(most, n);
+    EXPECT_LE(most, std::max(12, gateways / 10 + 4)) << gateways;
+    EXPECT_GE(least, std::min(gateways, 8)) << gateways;
+  }
+}
+
+TEST(Subset, IsWidenedWhenItsServersFail) {
+  // Guards against a part of the servers that is lost as a whole, with a zone.
+  Servants fleet(100, 60);
+  for (int i = 1; i <= 40; ++i) fleet.round(i * 50 * kMs, [](const auto&) { return Outcome::kOk; });
+  const std::set<std::string> lost = fleet.met[0];
+  int served = 0;
+  for (int i = 41; i <= 240; ++i) {
+    const auto how = [&](const std::string& s) {
+      return lost.count(s) ? Outcome::kConnectFailed : Outcome::kOk;
+    };
+    auto& gateway = fleet.all[0];
+    gateway.run(i * 50 * kMs);
+    auto sends = all<SendAttempt>(gateway.arrive(i * 50 * kMs, label("r", i)));
+    for (int attempt = 0; !sends.empty(); ++attempt) {
+      if (i > 140 && how(sends[0].server) == Outcome::kOk) ++served;
+      sends = all<SendAttempt>(
+          gateway.end(i * 50 * kMs + kMs, sends[0], how(sends[0].server), attempt, 20 * kMs));
+    }
+  }
+  EXPECT_GE(served, 95);
+}
+
+TEST(Subset, OneServerMoreLeavesMostOfItAsItWas) {
+  // Guards against all gateways that open to other servers with each change of the list.
+  Servants fleet(100, 60);
+  for (int i = 1; i <= 40; ++i) fleet.round(i * 50 * kMs, [](const auto&) { return Outcome::kOk; });
+  const auto before = fleet.met;
+  for (auto& met : fleet.met) met.clear();
+  ServerListUpdate one;
+  one.kind = ServerListUpdate::Kind::kPartial;
+  one.entries = Driver::up({"fresh"});
+  for (auto& gateway : fleet.all) gateway.step(2'001 * kMs, {one});
+  for (int i = 41; i <= 80; ++i) fleet.round(i * 50 * kMs, [](const auto&) { return Outcome::kOk; });
+  std::size_t kept = 0, had = 0;
+  for (std::size_t i = 0; i < before.size(); ++i) {
+    had += before[i].size();
+    for (const auto& server : before[i]) kept += fleet.met[i].count(server);
+  }
+  EXPECT_GE(kept, had * 8 / 10);
+}
+
 TEST(Attempts, AStalledServerIsLeftForAnotherBeforeTheAim) {
   Driver d;
   auto usual = all<SendAttempt>(d.arrive(0, "usual"));
