--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -40,14 +40,15 @@
 constexpr double kEvenCeiling = 0.5;   // of a ceiling, in even parts; the rest is drawn from the counter
 constexpr double kDrawAhead = 0.5;     // s of what the slice lets through that one draw takes ahead
 constexpr std::uint64_t kCeilingNames = 0xce1115;  // sets names of draws apart from those of totals
-constexpr double kCallsFirst = 200;     // of all gateways: at once, and a second before the bound is met
-constexpr double kCallsFirstLeast = 4;  // of each
-constexpr double kCallsLeast = 1;       // at the least, to notice its return
-constexpr double kCrowded = 0.2;        // part of the calls failed or slow at which the pace is held
-constexpr double kCrowdGain = 0.1;      // an answer; smoothing of that part
-constexpr double kLateWeight = 5;       // refused calls that a late one counts for: all meet that line
-constexpr double kPaceGain = 0.2;       // of the pace, a second, up while calls are answered
-constexpr double kPaceBack = 0.5;       // of the pace before a silence, after it
+constexpr double kCallsFirst = 200;       // of all gateways: at once, and a second before the bound is met
+constexpr double kCallsFirstLeast = 2;    // of each
+constexpr double kCallsLeast = 1;         // at the least, to notice its return
+constexpr double kCrowded = 0.2;          // part of the calls failed or slow at which the pace is held
+constexpr double kCrowdGain = 0.1;        // an answer; smoothing of that part
+constexpr Micros kCrowdMemory = kPeriod;  // us; the few calls after a crowd must not keep it alive
+constexpr double kLateWeight = 5;         // refused calls that a late one counts for: all meet that line
+constexpr double kPaceGain = 0.5;         // of the pace, a second, up while calls are answered
+constexpr double kPaceBack = 0.5;         // of the pace before a silence, after it
 constexpr int kDownAfter = 6;        // failed calls in a row: down; nobody waits, and its pace is found anew
 constexpr double kSharers = 10;      // gateways that share a server, about, where there are more
 constexpr double kLeastPart = 6;     // servers that a gateway uses, at the least
@@ -270,7 +271,7 @@
     if (epoch != c.epoch) {
       c.epoch = epoch;
       c.seen = c.added = 0;
-      const Micros begun = epoch * kEpoch - phase;  // what was asked before it is in no total
+      const Micros begun = epoch * kEpoch - phase;  // what was asked before is in no total
       if (begun > c.seen_at) c.drawn *= double(now - begun) / double(now - c.seen_at);
       c.seen_at = begun;
     }
@@ -319,7 +320,6 @@
   void each(const What& what) {
     for (auto& [name, c] : customers_) what(c);
   }
-  // The plans have changed.
   void replan(Micros now) {
     for (auto& [name, c] : customers_) {
       advance(now, c);
@@ -394,7 +394,8 @@
   // Danger: a counter asked more than it can serve answers next to nobody; every gateway sees that alike and
   // slows down alike. A call that is lost at once, under a reset or a reply without a number, tells of its
   // connection and not of the line at the counter: the pace stays, until kDownAfter are lost in a row.
-  void pace(const CounterAnswered& a) {
+  void pace(Micros now, const CounterAnswered& a) {
+    crowd_ *= fade(now - std::exchange(crowd_at_, now), kCrowdMemory);
     const bool ok = a.outcome == CountOutcome::kOk, unknown = a.outcome == CountOutcome::kUnknown;
     const bool back = ok && silent(), slow = 2 * a.duration > settings_.counter_timeout;
     ++(ok ? told_.ok : !unknown ? told_.not_added : slow ? told_.late : told_.lost);
@@ -419,7 +420,6 @@
   double first_calls() const {
     return std::max(kCallsFirstLeast, kCallsFirst / std::max(1, settings_.gateways));
   }
-  // Calls that may be saved up.
   double refill(Micros now) {
     const double most = std::max(first_calls(), call_rate_);
     calls_ = std::min(most, calls_ + call_rate_ * double(now - calls_at_) / kSecond);
@@ -431,7 +431,7 @@
   double call_rate_ = first_calls(), calls_ = first_calls();
   double good_rate_ = first_calls();  // before the calls that fail in a row now
   double crowd_ = 0;                  // part of the calls that failed or took long; fading mean
-  Micros calls_at_ = 0;
+  Micros calls_at_ = 0, crowd_at_ = 0;
   struct Calls {
     int ok = 0, not_added = 0, late = 0, lost = 0;
   } told_;
@@ -942,7 +942,6 @@
     slices_.replan(now_);
     servers_.settings_changed();
   }
-  // By what held until now.
   void fill_ceilings() {
     slices_.each([this](Customer& c) { ceilings_.covers(now_, c, 0); });
   }
@@ -958,7 +957,7 @@
     }
   }
   void on(const CounterAnswered& e) {
-    slices_.pace(e);
+    slices_.pace(now_, e);
     Customer* drawn = ceilings_.answered(now_, e);
     Customer* counted = drawn ? nullptr : slices_.answered(now_, e);
     if (drawn) decide_all(drawn->at_ceiling);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -317,6 +317,64 @@
   EXPECT_LE(asked_first(100), 4u);  // a hundred gateways would crowd it
 }
 
+TEST(QuotaSlices, CallsLateAtAStartDoNotHoldThePaceForLong) {
+  // Guards against a herd that crowds the counter in its first second, and asks once a second ever after.
+  Settings s = counted_settings();
+  s.gateways = 100;
+  Driver d(s);
+  std::size_t calls = 0;
+  for (int i = 0; i < 80; ++i) {
+    const Micros now = (i + 1) * 100 * kMs;
+    const bool crowded = now < kS;
+    RequestArrived r = Driver::request(label("x", i), now);
+    r.customer = label("c", i);
+    for (const AddToCounter& c : all<AddToCounter>(d.step(now, {r}))) {
+      if (now > 3 * kS) ++calls;
+      const Micros took = crowded ? s.counter_timeout : kMs;
+      d.step(now + took, {CounterAnswered{c.name, crowded ? 0 : c.amount,
+                                          crowded ? CountOutcome::kUnknown : CountOutcome::kOk, took}});
+    }
+  }
+  EXPECT_GE(calls, 15u);  // in 5 s
+}
+
+TEST(QuotaSlices, TheCallsOfAllGatewaysStayWithinWhatTheCounterTakes) {
+  // A counter that serves 400 calls a second in turn, and gateways that meet 2,000 customers a second.
+  const Micros serves = 2'500;
+  for (const int gateways : {4, 20, 100}) {
+    Settings s = counted_settings();
+    s.gateways = gateways;
+    s.counter_timeout = 30 * kMs;
+    std::vector<Driver> fleet;
+    for (int i = 0; i < gateways; ++i)
+      fleet.emplace_back(s, Driver::up({"a", "b", "c"}), std::uint64_t(i + 1));
+    std::multimap<Micros, std::pair<int, CounterAnswered>> answers;
+    Micros free = 0;
+    int calls = 0, late = 0;
+    for (int i = 0; i < 24'000; ++i) {
+      const Micros now = (i + 1) * 500;
+      for (; !answers.empty() && answers.begin()->first <= now; answers.erase(answers.begin()))
+        fleet[std::size_t(answers.begin()->second.first)].step(now, {answers.begin()->second.second});
+      const int at = int((std::uint64_t(i) * 7919) % std::uint64_t(gateways));
+      RequestArrived r = Driver::request(label("x", i), now);
+      r.customer = label("c", i);
+      for (const AddToCounter& c : all<AddToCounter>(fleet[std::size_t(at)].step(now, {r}))) {
+        free = std::max(free, now) + serves;
+        const Micros took = std::min(free - now + kMs, s.counter_timeout);
+        const bool ok = took < s.counter_timeout;
+        answers.emplace(
+            now + took,
+            std::pair{at, CounterAnswered{c.name, ok ? c.amount : 0,
+                                          ok ? CountOutcome::kOk : CountOutcome::kUnknown, took}});
+        if (now > 6 * kS) ++calls, late += !ok;
+      }
+    }
+    EXPECT_GE(calls, 6 * 80) << gateways;  // it is used
+    EXPECT_LE(calls, 6 * 420) << gateways;
+    EXPECT_LE(late, calls / 2) << gateways;
+  }
+}
+
 TEST(QuotaSlices, APaceThatIsNotUsedDoesNotGrow) {
   Driver d(counted_settings());
   const auto ask = [&](Micros now, const std::string& customer) {
