--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -335,7 +335,7 @@
   bool spare_call(Micros now) {
     if (!settings_.has_counter || silent()) return false;
     refill(now);
-    if (calls_ < 1) return false;
+    if (calls_ < 1 - call_rate_) return false;
     calls_ -= 1;
     return true;
   }
@@ -1031,7 +1031,8 @@
     r.arrived = now_;
     r.give_up = cls->late_worth > 0 ? e.deadline : std::min(e.deadline, now_ + cls->aim);
     // Danger: gateways that meet a customer seldom would never know a total in time. The first one waits.
-    if (slices_.call(now_, e.customer, c, *out_) && may_wait(r))
+    // A draw comes first. Danger: with the total read no call was left to draw on the ceiling.
+    if (ceilings_.covers(now_, c, r.units) && slices_.call(now_, e.customer, c, *out_) && may_wait(r))
       wait(r, c.waiting);
     else
       decide(r);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -497,6 +497,29 @@
   EXPECT_EQ(d.burst(101 * kMs, 3), 1);  // ten units a second is our part
 }
 
+TEST(Ceiling, ADrawComesBeforeATotal) {
+  // Guards against a total that uses up the last call: the request is within its slice, has no part of the
+  // ceiling, and is refused. Calls are scarce where many gateways share the counter.
+  Settings s = counted_settings();
+  s.gateways = 100;
+  s.plans[0].ceiling_rate = 20;
+  s.plans[0].ceiling_burst = 40;
+  Driver d(s);
+  int sent = 0;
+  for (int i = 0; i < 3; ++i) {
+    RequestArrived r = Driver::request(label("r", i), (i + 1) * kMs);
+    r.customer = label("c", i);
+    auto out = d.step((i + 1) * kMs, {r});
+    for (int calls = 0; calls < 3 && !all<AddToCounter>(out).empty(); ++calls) {
+      const AddToCounter c = all<AddToCounter>(out)[0];
+      out = d.step((i + 1) * kMs + 100 * (calls + 1),
+                   {CounterAnswered{c.name, c.amount, CountOutcome::kOk, 100}});
+    }
+    for (const SendAttempt& a : all<SendAttempt>(out)) ++sent, d.end((i + 1) * kMs + 500, a, Outcome::kOk);
+  }
+  EXPECT_EQ(sent, 3);
+}
+
 TEST(Ceiling, ACustomerMetLateFindsItsPartFull) {
   Settings s = basic_settings();
   s.plans[0].ceiling_rate = 20;
