--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -67,6 +67,7 @@
 constexpr double kGrow = 0.04;             // attempts that one good answer adds to the limit while it binds
 constexpr double kUneven = 1.6;            // one server's part of the in-flight limit over an even one
 constexpr double kMeanGain = 0.02;         // per answer; smoothing of a class's answer time
+constexpr double kMeanPrior = 4;           // answers that a sixth of the aim counts for, as the first guess
 constexpr double kNormGain = 1.0 / 30;     // per answer; smoothing of the fleet's answer times
 constexpr double kIdleGain = 1.0 / 150;    // per answer; slower, so that its least is no lucky run
 constexpr double kBaseGain = 1.0 / 40000;  // per answer; how fast the idle answer time may rise
@@ -672,7 +673,6 @@
     return few > 0 ? std::get<2>(*best) : nullptr;
   }
 
-  // Each process of this gateway sends a cold server its own part.
   void split(int processes) { processes_ = processes; }
 
   int avoided() const {
@@ -681,7 +681,6 @@
     }));
   }
 
-  // Is there a server that has or may soon have room?
   template <typename Filter>
   bool any(Micros now, Filter allowed) const {
     return std::any_of(servers_.begin(), servers_.end(), [&](const auto& e) {
@@ -765,17 +764,14 @@
     return text;
   }
 
-  // Our part of the attempts that servers can hold.
   double even() const { return std::max(limit_, kLeastInFlight * std::max(listed_, 1) / settings_.gateways); }
 
-  // How much of the room for attempts is taken.
   double pressure(Micros now) {
     settle(now);
     return 0.5 - 0.5 * room_ / even();
   }
 
  private:
-  // True if it is ejected now.
   bool fails(Micros now, Server& s) {
     if ((++s.failures < kEjectAfter && !s.on_trial) || s.ejected_until > now) return false;
     ++ends_.ejected;
@@ -847,6 +843,7 @@
 // A class as it was when its requests came, and what its answers tell.
 struct Class : ClassSettings {
   double mean = 0;         // us; its answer time
+  int answers = 0;         // that it is the mean of
   double usual_units = 0;  // mean
 };
 
@@ -953,7 +950,7 @@
     for (const ClassSettings& c : settings_.classes) {
       const auto was = before.find(c.name);
       const Class told = was != before.end() ? *was->second : Class{};
-      classes_[c.name] = std::make_shared<Class>(Class{c, told.mean, told.usual_units});
+      classes_[c.name] = std::make_shared<Class>(Class{c, told.mean, told.answers, told.usual_units});
     }
   }
   void on(const CounterAnswered& e) {
@@ -1164,8 +1161,10 @@
     --r.customer->open;
     using O = Outcome;
     a.may_have_run = !(e.outcome == O::kFull || e.outcome == O::kConnectFailed || e.outcome == O::kNotSent);
-    double& m = r.cls->mean;
-    if (e.outcome == O::kOk) m += (m > 0 ? kMeanGain : 1.0) * (double(e.duration) - m);
+    if (e.outcome == O::kOk) {
+      const double gain = std::max(kMeanGain, 1 / (kMeanPrior + ++r.cls->answers));
+      r.cls->mean = mean_of(*r.cls) + gain * (double(e.duration) - mean_of(*r.cls));
+    }
     const double mean = mean_of(*r.cls);
     // Danger: a gateway that stood still finds answers old; what they say they took counts, not the clock.
     const double over_aim = double(e.duration) / double(std::max<Micros>(1, r.cls->aim)) * mean / r.expected;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -939,7 +939,7 @@
         met[i].insert(sends[0].server);
         ++sent[sends[0].server];
         sends = cottonroad::all<SendAttempt>(
-            all[i].end(now + kMs, sends[0], how(sends[0].server), attempt, 20 * kMs));
+            all[i].end(now + kMs, sends[0], how(sends[0].server), attempt, (10 + now / kMs * 7 % 21) * kMs));
       }
     }
   }
@@ -953,7 +953,7 @@
   // Guards against a hundred gateways that each open to each of sixty servers.
   for (const int gateways : {2, 10, 40, 100, 200}) {
     Servants fleet(gateways, 60);
-    for (int i = 1; i <= (gateways > 10 ? 200 : 1'000); ++i)
+    for (int i = 1; i <= (gateways > 50 ? 600 : 1'500); ++i)
       fleet.round(i * 50 * kMs, [](const auto&) { return Outcome::kOk; });
     std::map<std::string, int> users;
     for (const auto& met : fleet.met) {
@@ -1011,16 +1011,27 @@
 
 TEST(Attempts, AStalledServerIsLeftForAnotherBeforeTheAim) {
   Driver d;
-  auto usual = all<SendAttempt>(d.arrive(0, "usual"));
-  d.end(0, usual.at(0), Outcome::kOk, 0, 20 * kMs);
-  auto sent = all<SendAttempt>(d.arrive(kMs, "r"));
-  auto out = d.run(450 * kMs);
+  for (int i = 0; i < 10; ++i) {
+    auto usual = all<SendAttempt>(d.arrive(i * kS, label("usual", i)));
+    d.end(i * kS, usual.at(0), Outcome::kOk, 0, 20 * kMs);
+  }
+  auto sent = all<SendAttempt>(d.arrive(10 * kS, "r"));
+  auto out = d.run(10 * kS + 450 * kMs);
   ASSERT_EQ(all<CancelAttempt>(out).size(), 1u);
-  auto again = all<SendAttempt>(d.end(451 * kMs, sent.at(0), Outcome::kCancelled));
+  auto again = all<SendAttempt>(d.end(10 * kS + 451 * kMs, sent.at(0), Outcome::kCancelled));
   ASSERT_EQ(again.size(), 1u);
   EXPECT_NE(again[0].server, sent[0].server);
 }
 
+TEST(Attempts, OneQuickAnswerIsNoMeasureOfTheOthers) {
+  // Guards against a gateway that has met one light request, and takes back whatever takes longer.
+  Driver d;
+  auto first = all<SendAttempt>(d.arrive(0, "first"));
+  d.end(0, first.at(0), Outcome::kOk, 0, 2 * kMs);
+  EXPECT_EQ(all<SendAttempt>(d.arrive(kMs, "r")).size(), 1u);
+  EXPECT_EQ(all<CancelAttempt>(d.run(200 * kMs)).size(), 0u);
+}
+
 TEST(Servers, FailuresInARowEject) {
   Driver d;
   std::set<std::string> seen;
