--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -75,7 +75,7 @@
 constexpr double kMaxEjected = 0.34;       // of the fleet; past that the fault is likely ours or everyone's
 constexpr double kLastResort = 1e6;        // cost of an ejected server, when too many are
 constexpr Micros kEjectFor = 3'000'000;    // us; then one request at a time until an answer
-constexpr double kColdSafety = 0.7;        // of our part of a cold server's budget
+constexpr double kColdSafety = 0.55;       // of our part of a cold server's budget
 constexpr double kRetryShare = 0.1;        // retries and second copies per first attempt
 constexpr double kRetryBurst = 10;         // attempts
 constexpr double kDoubtAfter = 7;          // mean answers until an attempt is looked at again
@@ -656,11 +656,12 @@
       Server& s = *to;
       if (!allowed(s)) continue;
       if ((s.ejected_until > now && !last_resort) || (s.on_trial && s.out > 0)) continue;
-      const double slow = slowness(now, s, mean), speed = weight(s) * warmth(now, s) / slow;
+      const double speed = weight(s) * std::sqrt(warmth(now, s)) / slowness(now, s, mean);
       if (s.out >= std::max(1.0, std::round(kUneven * even() / weights * speed))) continue;
       if (!cold_covers(now, s, work)) continue;
       const double others = s.others * fade(now - s.report_at, kReportMemory);
-      double cost = (s.out + others + 1) / speed;
+      // Danger: drawn by their warmth and compared by it too, cold servers lay idle beside full ones.
+      double cost = (s.out + others + 1) / speed * std::sqrt(warmth(now, s));
       if (s.entry.zone != settings_.zone) cost *= kZoneBias;
       const double last = s.ejected_until > now ? kLastResort : 1;
       draws.emplace_back(-std::log(1 - uniform(random_)) / speed * last, cost * last, &s);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1009,6 +1009,46 @@
   EXPECT_GE(kept, had * 8 / 10);
 }
 
+TEST(ColdServers, ManyAtOnceAreBroughtInWithoutBeingPushedOver) {
+  // Six in ten of sixty servers start anew at once, for a hundred gateways. Guards against a part of each
+  // one's budget that is under one request and never used, and against all gateways that use theirs at once.
+  Settings s = basic_settings();
+  s.cold_share = 0.26;
+  s.cold_time = 17 * kS;
+  s.cold_multiple = 2.5;
+  s.cold_window = kS;
+  Servants fleet(100, 60, s);
+  const auto fine = [](const std::string&) { return Outcome::kOk; };
+  int i = 1;
+  for (; i <= 50; ++i) fleet.round(i * 200 * kMs, fine);
+  const Micros started = i * 200 * kMs;
+  ServerListUpdate news;
+  news.kind = ServerListUpdate::Kind::kPartial;
+  news.entries = Driver::up({fleet.names.begin(), fleet.names.begin() + 36});
+  for (auto& entry : news.entries) entry.started_at = started;
+  for (auto& gateway : fleet.all) gateway.step(started, {news});
+  std::map<std::string, int> cold, warm;
+  for (int second = 0; second < 8; ++second) {
+    fleet.sent.clear();
+    for (const int end = i + 5; i < end; ++i) fleet.round(i * 200 * kMs, fine);
+    int sent = 0;
+    for (std::size_t k = 0; k < fleet.names.size(); ++k) {
+      const int n = fleet.sent[fleet.names[k]];
+      sent += n;
+      // A warm server bears 13 a second, as those of the quiet fleet, which are sent 8, do at least.
+      if (k < 36) {
+        EXPECT_LE(n, 2.5 * 13 * (0.26 + 0.74 * second / 17));
+      }
+      if (second >= 4) (k < 36 ? cold : warm)[fleet.names[k]] += n;
+    }
+    EXPECT_GE(sent, 475) << second;  // of 500
+  }
+  double to_cold = 0, to_warm = 0;
+  for (const auto& [name, n] : cold) to_cold += n / 36.0;
+  for (const auto& [name, n] : warm) to_warm += n / 24.0;
+  EXPECT_GT(to_cold, 0.35 * to_warm);  // by then half warm
+}
+
 TEST(Attempts, AStalledServerIsLeftForAnotherBeforeTheAim) {
   Driver d;
   for (int i = 0; i < 10; ++i) {
