Eject a server by the odds of its failures, counted against the rate of all

A failure now counts by how rare failures are at this gateway, an answer takes some of that back; where all fail, one failure says next to nothing. Ruled out: the time an ejection lasts (trials were few).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,5 +1,4 @@
-// Every decision of cottonroad, in the plain types of include/cottonroad/gateway.hpp. Sections: tuned values,
-// 1 QuotaSlices, 2 Ceilings and open caps, 3 Servers, 4 Attempts, 5 Overload.
+// Every decision of cottonroad, in the plain types of include/cottonroad/gateway.hpp.
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -71,7 +70,10 @@
 constexpr double kNormGain = 1.0 / 30;     // per answer; smoothing of the fleet's answer times
 constexpr double kIdleGain = 1.0 / 150;    // per answer; slower, so that its least is no lucky run
 constexpr double kBaseGain = 1.0 / 40000;  // per answer; how fast the idle answer time may rise
-constexpr int kEjectAfter = 3;             // failures in a row, none answered between
+constexpr double kBadFails = 0.6;          // of its attempts fail at a bad server, about
+constexpr double kFailsLeast = 0.04;       // of any server's, by chance
+constexpr double kFailingGain = 1.0 / 40;  // per answer; smoothing of that
+constexpr double kEjectOdds = 4;           // log; two failures where they are rare
 constexpr double kMaxEjected = 0.34;       // of the fleet; past that the fault is likely ours or everyone's
 constexpr double kLastResort = 1e6;        // cost of an ejected server, when too many are
 constexpr Micros kEjectFor = 3'000'000;    // us; then one request at a time until an answer
@@ -176,8 +178,7 @@
     return plan.rate > 0 ? plan.rate : std::max(kOpenLeast * open, open - kOpenSpread * std::sqrt(open));
   }
   double burst(const Customer& c) const { return c.plan->rate > 0 ? c.plan->burst : c.rate * kOpenBurst; }
-  // Danger: each of a hundred gateways would let all in of a customer that no total has told of. Until then
-  // it has an even part, and one more of the burst.
+  // Danger: each gateway would let all in of a customer that no total has told of. It has an even part first.
   double depth(const Customer& c) const {
     return burst(c) * (c.read_at > 0 ? 1 : std::min(1.0, 2.0 / c.set_size));
   }
@@ -186,8 +187,8 @@
     return std::clamp(burst(c) / std::max(c.rate, 1e-9), 1.0, kMaxHorizon);
   }
 
-  // Fills the store by what the others leave. Danger: a hundredth of a store holds less than one request; so
-  // each gateway keeps its view of the whole.
+  // Fills the store by what others leave. Danger: a hundredth of one holds less than a request; all see it
+  // whole.
   void advance(Micros now, Customer& c) {
     const double dt = double(now - c.at) / kSecond;
     if (dt <= 0) return;
@@ -332,7 +333,6 @@
 
   bool silent() const { return in_a_row_ >= kDownAfter; }
 
-  // May a call be made for something else than totals?
   bool spare_call(Micros now) {
     if (!settings_.has_counter || silent()) return false;
     refill(now);
@@ -539,7 +539,7 @@
   Micros ratio_at = 0;
   double others = 0;  // attempts of other gateways there, as last reported
   Micros report_at = 0;
-  int failures = 0;  // in a row
+  double odds = 0;  // log; that it is bad, over what one would think of any
   Micros ejected_until = 0;
   bool on_trial = false;                             // ejected and not yet answered since
   std::deque<std::pair<Micros, double>> cold_sends;  // when and how much work, in the cold window
@@ -571,10 +571,8 @@
       s.known_at = now;
       s.usable = e.state == ServerState::kUp;
       if (restarted) {  // a new process: what was known of the old one is void
-        s.failures = 0;
-        s.ejected_until = 0;
         s.on_trial = false;
-        s.ratio_sum = s.ratio_weight = 0;
+        s.odds = s.ejected_until = s.ratio_sum = s.ratio_weight = 0;
       }
       s.place = hash_text(e.server);
     }
@@ -702,8 +700,7 @@
     if (s.out == attempts) s.owing_since = now;
   }
 
-  // `ratio`: its time over its class's mean; `over_aim`: over its class's aim. Danger: a sick server that
-  // answers errors at once looks like the fastest.
+  // `ratio`: its time over its class's mean. Danger: a sick server that answers errors at once looks fast.
   bool ended(Micros now, Server& s, Outcome o, double ratio, double over_aim, double mean, bool blame,
              const LoadReport& load) {
     const bool answered = o == Outcome::kOk || o == Outcome::kError;
@@ -722,14 +719,14 @@
     }
     if (answered) s.owing_since = now;
     if (o == Outcome::kOk) {
-      s.failures = 0;
+      failing_ -= kFailingGain * failing_;
+      s.odds = std::max(0.0, s.odds - std::log((1 - failing_) / (1 - kBadFails)));
       s.on_trial = false;
     }
     adapt(now, o, timed, over_aim, mean);
     ++ends_.by_outcome[blame ? kBlamed : std::size_t(o)];
     return failed && fails(now, s);
   }
-  // What had been taken for an answer was none.
   bool cut(Micros now, const std::string& server) {
     return servers_.count(server) > 0 && fails(now, servers_.at(server));
   }
@@ -773,8 +770,12 @@
   }
 
  private:
+  // Danger: who meets a server seldom waits long for failures in a row. Each counts by how rare failures are;
+  // where all servers fail, it says next to nothing of one.
   bool fails(Micros now, Server& s) {
-    if ((++s.failures < kEjectAfter && !s.on_trial) || s.ejected_until > now) return false;
+    failing_ = std::min(kBadFails, failing_ + kFailingGain * (1 - failing_));
+    s.odds += std::log(kBadFails / std::max(kFailsLeast, failing_));
+    if ((s.odds < kEjectOdds && !s.on_trial) || s.ejected_until > now) return false;
     ++ends_.ejected;
     s.ejected_until = now + kEjectFor;
     return s.on_trial = true;
@@ -820,6 +821,7 @@
   Micros forget_after_ = kKnownFor;
   double limit_ = 0, norm_ = 0, slow_norm_ = 0, base_ = 0;
   int answers_ = 0;
+  double failing_ = kFailsLeast;  // part of all our attempts that fail; fading mean
   Micros cut_at_ = 0;
   double peer_rate_ = 0;
   int out_ = 0, listed_ = 0, processes_ = 1;
@@ -926,7 +928,7 @@
   }
   void on(const ProbeEnded&) {}
   void on(const AnswerCut& e) {
-    if (servers_.cut(now_, e.server)) log("server", e.server + " ejected: failures in a row");
+    if (servers_.cut(now_, e.server)) log("server", e.server + " ejected: it fails");
   }
   void on(const ProcessesChanged& e) {
     fill_ceilings();
@@ -1172,7 +1174,7 @@
     if (a.with_server) servers_.occupy(now_, *a.server, -1);
     if (servers_.ended(now_, *a.server, e.outcome, double(e.duration) / r.expected, over_aim, mean, a.blamed,
                        e.load))
-      log("server", a.server->entry.server + " ejected: failures in a row");
+      log("server", a.server->entry.server + " ejected: it fails");
     if (settings_.settles_later && e.billed > 0 && !r.over) slices_.take(*r.customer, e.billed - r.units);
     if (e.finished) finish(r);
     if (!r.done && r.out == 0) {
@@ -1217,8 +1219,7 @@
   }
 
   // ---- 5. Overload ------------------------------------------------------------------------------------
-  // A request that finds the servers full waits here for a part of its aim, dear ones first; those
-  // beyond their quota do not wait.
+  // A request inside its quota that finds the servers full waits here for a part of its aim, dear ones first.
   void hold(Request& r) {
     r.held = true;
     held_.push_back(r.id);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1072,6 +1072,53 @@
   EXPECT_EQ(all<CancelAttempt>(d.run(200 * kMs)).size(), 0u);
 }
 
+// One request, and all its attempts one after the other, answered with what `how` says of their servers.
+void serve(Driver& d, int i, const std::function<Outcome(const std::string&)>& how) {
+  const Micros now = i * 20 * kMs;
+  auto sends = all<SendAttempt>(d.arrive(now, label("r", i)));
+  for (int attempt = 0; !sends.empty(); ++attempt)
+    sends =
+        all<SendAttempt>(d.end(now + kMs, sends[0], how(sends[0].server), attempt, (10 + i * 7 % 21) * kMs));
+}
+
+Settings unbounded_settings() {
+  Settings s = basic_settings();
+  s.plans[0].rate = s.plans[0].burst = 1e6;
+  return s;
+}
+
+TEST(Servers, OneThatFailsTwiceWhereFailuresAreRareIsLeftAlone) {
+  // Guards against a bad server that each of a hundred gateways must find out by a third failure in a row.
+  Driver d(unbounded_settings(), Driver::up({"a", "b", "c", "d", "e", "f"}));
+  int to_bad = 0;
+  std::string sick;
+  for (int i = 0; i < 240; ++i)
+    serve(d, i, [&](const std::string& server) {
+      if (i > 100 && sick.empty()) sick = server;
+      const bool bad = server == sick;
+      to_bad += bad;
+      return bad ? Outcome::kError : Outcome::kOk;
+    });
+  EXPECT_EQ(to_bad, 2);
+}
+
+TEST(Servers, ChanceFailuresAndAFaultOfAllEmptyNoList) {
+  // One attempt in twenty fails at any server, later all do at all of them.
+  Driver d(unbounded_settings(), Driver::up({"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}));
+  std::set<std::string> met[2];
+  int sent[2] = {}, n = 0;
+  for (int i = 0; i < 600; ++i)
+    serve(d, i, [&](const std::string& server) {
+      const bool all_fail = i >= 400;
+      if (i % 200 >= 100) met[all_fail].insert(server), ++sent[all_fail];
+      return all_fail || (++n * 7919) % 20 == 0 ? Outcome::kError : Outcome::kOk;
+    });
+  EXPECT_GE(met[0].size(), 7u);  // the bound on ejections is a third
+  EXPECT_GE(sent[0], 200);
+  EXPECT_GE(met[1].size(), 6u);
+  EXPECT_GE(sent[1], 100);
+}
+
 TEST(Servers, FailuresInARowEject) {
   Driver d;
   std::set<std::string> seen;
