Wait longer, within the settings' bound, after discovery has turned us away

Calls failed after 2.0 s in discovery's line or at once when that was full; with waits of at most 1.5 s the fleet asked 60 to 100 times a second and kept it full. Lists come 61 ms apart, 16 a second, as soon as the line empties. Ruled out: answers that were not understood (no line came at all), connections that never came up, and a bound of 8 s on waits that double (755 calls, still none served). A 503 now starts waits of their own, drawn from nought up to 1, 4 and 16 s, behind Retry-After where it is told; the bound comes from AskWithinUs where lists are asked for.

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -11,6 +11,8 @@
 
 using nlohmann::json;
 
+constexpr double kAskShare = 0.4;  // of that time, so that two calls fit in
+
 [[noreturn]] void bad(const std::string& what) { throw std::runtime_error("configuration: " + what); }
 
 std::uint64_t parse_seed(const std::string& text) {
@@ -92,6 +94,11 @@
   const json network = config["settings"].value("Limits", json::object());
   out.conn_idle = positive(network, "ConnIdleUs", out.conn_idle);
   out.dial_timeout = positive(network, "DialTimeoutUs", out.dial_timeout);
+  // Where lists are asked for, a list is old only four times that after a call that failed; else at once.
+  const json& info = config["settings"];
+  if (info.value("MembershipMode", "") == "on_request")
+    out.discovery_wait = Micros(
+        kAskShare * 4 * double(info.value("Obligations", json::object()).value("AskWithinUs", Micros{0})));
   if (config.contains("known") && !config["known"].is_null()) out.known = parse_members(config["known"]);
   return out;
 }
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -18,7 +18,9 @@
 
 constexpr Micros kQuiet = 5'000'000;  // us; two heartbeats missed and some
 constexpr Micros kFirstBackoff = 100'000, kMostBackoff = 1'000'000;
-constexpr std::size_t kMostPending = 4 << 20;  // of one line
+constexpr Micros kTurnedAway = 1'000'000;       // first wait after that, at the most
+constexpr Micros kMostRetryAfter = 30'000'000;  // that is followed
+constexpr std::size_t kMostPending = 4 << 20;   // of one line
 constexpr Micros kLogEvery = 10'000'000;
 
 ServerState parse_state(const std::string& phase) {
@@ -66,7 +68,7 @@
 }
 
 Discovery::Discovery(asio::io_context& io, Timers& timers, const Clock& clock, tcp::endpoint agent,
-                     std::int64_t revision, Told told, std::uint64_t seed)
+                     std::int64_t revision, Told told, std::uint64_t seed, Micros most_wait)
     : io_(io),
       timers_(timers),
       clock_(clock),
@@ -74,7 +76,8 @@
       revision_(revision),
       told_(std::move(told)),
       socket_(io),
-      backoff_(kFirstBackoff, kMostBackoff, seed) {}
+      backoff_(kFirstBackoff, kMostBackoff, seed),
+      turned_away_(kTurnedAway, std::max(kTurnedAway, most_wait), seed + 1) {}
 
 void Discovery::start() {
   connect();
@@ -86,6 +89,7 @@
   agent_ = std::move(agent);
   whole_ = true;
   backoff_.reset();
+  turned_away_.reset();
   lost("moves to another agent");
 }
 
@@ -146,8 +150,14 @@
     if (used == 0) break;
   }
   if (!parser_->is_header_done()) return;
-  if (parser_->get().result() != http::status::ok)
+  if (parser_->get().result() != http::status::ok) {
+    const auto after = parser_->get()[http::field::retry_after];
+    double seconds = 0;
+    std::from_chars(after.data(), after.data() + after.size(), seconds);
+    // Behind what it told: many are told the same.
+    refused_ = Micros(std::clamp(seconds * 1e6, 0.0, double(kMostRetryAfter))) + turned_away_.next();
     throw std::runtime_error("status " + std::to_string(parser_->get().result_int()));
+  }
   lines_ += parser_->get().body();
   parser_->get().body().clear();
   std::size_t start = 0;
@@ -162,6 +172,7 @@
 
 void Discovery::line(const std::string& text) {
   backoff_.reset();
+  turned_away_.reset();
   if (lost_at_ > 0) std::cerr << "discovery: back after " << (clock_.now() - lost_at_) / 1000 << " ms\n";
   lost_at_ = 0;
   if (text.find_first_not_of(" \r\t") == std::string::npos) return;  // a heartbeat
@@ -181,7 +192,7 @@
     std::cerr << "discovery: " << why << "; watching again from " << revision_ << '\n';
   }
   if (lost_at_ == 0) lost_at_ = now;
-  timers_.after(backoff_.next(), [this, life] {
+  timers_.after(refused_ > 0 ? std::exchange(refused_, 0) : backoff_.next(), [this, life] {
     if (life == life_) connect();
   });
 }
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -34,7 +34,8 @@
  public:
   using Told = std::function<void(const MemberList&)>;
   Discovery(boost::asio::io_context& io, Timers& timers, const Clock& clock,
-            boost::asio::ip::tcp::endpoint agent, std::int64_t revision, Told told, std::uint64_t seed = 0);
+            boost::asio::ip::tcp::endpoint agent, std::int64_t revision, Told told, std::uint64_t seed = 0,
+            Micros most_wait = 0);
   void start();
   // Watches another agent from now on; what the old one told stands until the new one has told its list.
   void move_to(boost::asio::ip::tcp::endpoint agent);
@@ -62,8 +63,10 @@
   std::string pending_, lines_, request_;
   int life_ = 0;  // of the connection; handlers of earlier ones mean nothing
   Micros heard_ = 0;
-  Backoff backoff_;
-  Micros lost_at_ = 0;  // 0: it is not
+  Backoff backoff_;      // after a watch that broke or never came up: a matter of this gateway
+  Backoff turned_away_;  // by a discovery that has no room, for nobody: up to `most_wait`
+  Micros refused_ = 0;   // then: how long to wait
+  Micros lost_at_ = 0;   // 0: it is not
   Micros logged_ = 0;
 };
 
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -59,7 +59,7 @@
             told(list, list.complete ? Kind::kComplete : Kind::kPartial);
             look_ready();
           },
-          config.seed),
+          config.seed, config.discovery_wait),
       frontend_(io, timers_, clock_, settings_, most_clients(config),
                 {[this](std::uint64_t client, ClientRequest r) { return took(client, std::move(r)); },
                  [this](std::uint64_t id) { gone(id); },
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -32,6 +32,7 @@
   std::string folder;  // that an old and a new process of this gateway share; empty: none
   Settings settings;
   Micros conn_idle = 15'000'000, dial_timeout = 250'000;
+  Micros discovery_wait = 0;  // the most between two calls while discovery turns us away
   MemberList known;
 };
 
--- a/src/net/timers.hpp
+++ b/src/net/timers.hpp
@@ -32,22 +32,23 @@
 };
 
 // How long to wait before each further try. Danger: what was started, or lost something, at one moment with
-// many others would go on trying at the same moments with them; so each wait is drawn, around a time that
-// doubles.
+// many others would go on trying at the same moments with them; so each wait is drawn, from nought up to a
+// time that grows fourfold. Danger: with one that doubles up to 1 s, a fleet that was turned away asked on at
+// a rate that kept discovery's line full, and none of it was ever served.
 class Backoff {
  public:
   Backoff(Micros first, Micros most, std::uint64_t seed) : first_(first), most_(most), random_(seed) {}
   Micros next() {
-    const Micros least = around_ / 2, most = around_ > 0 ? 3 * least : first_;
-    around_ = std::clamp(2 * around_, first_, most_);
-    return std::uniform_int_distribution<Micros>(least, most)(random_);
+    const Micros up_to = up_to_;
+    up_to_ = std::min(4 * up_to_, most_);
+    return std::uniform_int_distribution<Micros>(0, up_to)(random_);
   }
-  void reset() { around_ = 0; }
+  void reset() { up_to_ = first_; }
 
  private:
   const Micros first_, most_;
   std::mt19937_64 random_;
-  Micros around_ = 0;
+  Micros up_to_ = first_;
 };
 
 // Runs `what`; an exception is logged and goes no further, so that what comes after it still runs.
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -190,6 +190,7 @@
   std::vector<std::string> asked;  // targets
   std::string first = "\n";        // what a watch begins with
   bool mute = false;
+  std::string refuse;  // said in place of a watch
   void raw(const std::string& bytes) { peers.back()->write(bytes); }
   void tell(const std::string& text) { raw(chunk(text)); }
   static std::string chunk(const std::string& text) {
@@ -204,6 +205,7 @@
     asked.push_back(pending.substr(4, pending.find(" HTTP/") - 4));
     pending.clear();
     if (mute) return;
+    if (!refuse.empty()) return peer.write(refuse);
     peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(first));
   }
 };
