Take an empty whole list for a broken one

Discovery that has lost its list would take every server from all gateways at once; the known list now stays in force and the whole one is asked for after a wait, as after any line that is not understood.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -177,6 +177,8 @@
   lost_at_ = 0;
   if (text.find_first_not_of(" \r\t") == std::string::npos) return;  // a heartbeat
   const MemberList list = parse_members(nlohmann::json::parse(text));
+  // Danger: a discovery that has lost its own list would take every server from all gateways at once.
+  if (list.complete && list.members.empty()) throw std::runtime_error("an empty list");
   revision_ = list.revision;
   whole_ = false;
   told_(list);
