Hear a pushed list in time: silence, silent agents and returns within the grace

Seen by test on the program as it was, with a discovery on loopback: a watch that fell silent behind an agent that then accepted and said nothing was replaced after more than 20 s (three such connections), where 6 s count; an agent that was back was asked again after up to 1 s, with a Retry-After of 10 s after 10 s, where 250 ms count. Where lists are asked for, a 503 and the wait for an answer are as before. The test of Retry-After asked it of pushed lists, against the standing terms (what the agent has counts at once); it now asks it of lists that are asked for, and three tests bind pushed ones.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -16,9 +16,16 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr Micros kQuiet = 5'000'000;  // us; two heartbeats missed and some
+// What a silent watch misses counts as told 6 s after it fell silent, and an empty line comes every 2 s.
+constexpr Micros kQuiet = 3'000'000;  // us; a heartbeat missed and some, so that a second try still fits in
 constexpr Micros kFirstBackoff = 100'000, kMostBackoff = 1'000'000;
-constexpr Micros kTurnedAway = 1'000'000;       // first wait after that, at the most
+// Danger: what an agent beside us has counts as told at once, also when it comes back, and 250 ms later
+// nothing new may go to who drains. So the two of these together stay under that.
+constexpr Micros kAnswerWithin = 120'000;  // us from connecting to the first byte
+constexpr Micros kFirstPause = 20'000, kMostPause = 60'000;
+constexpr Micros kAskedWithin = 5'000'000;  // us of the same where lists are asked for: calls wait in line
+constexpr Micros kStoodStill = 30'000;      // us late at our own timer: not the agent is late but we are
+constexpr Micros kTurnedAway = 1'000'000;   // first wait after that, at the most
 constexpr Micros kMostRetryAfter = 30'000'000;  // that is followed
 constexpr std::size_t kMostPending = 4 << 20;   // of one line
 constexpr Micros kLogEvery = 10'000'000;
@@ -73,16 +80,14 @@
       timers_(timers),
       clock_(clock),
       agent_(std::move(agent)),
+      pushed_(most_wait == 0),
       revision_(revision),
       told_(std::move(told)),
       socket_(io),
-      backoff_(kFirstBackoff, kMostBackoff, seed),
+      backoff_(pushed_ ? kFirstPause : kFirstBackoff, pushed_ ? kMostPause : kMostBackoff, seed),
       turned_away_(kTurnedAway, std::max(kTurnedAway, most_wait), seed + 1) {}
 
-void Discovery::start() {
-  connect();
-  watch_quiet();
-}
+void Discovery::start() { connect(); }
 
 // Danger: another agent may not know our revision; what was told between would be lost. So the whole list.
 void Discovery::move_to(tcp::endpoint agent) {
@@ -93,15 +98,24 @@
   lost("moves to another agent");
 }
 
-// Danger: a watch can break without a word. The agent sends at least an empty line every 2 s.
-void Discovery::watch_quiet() {
-  if (clock_.now() - heard_ > kQuiet) lost("quiet");
-  timers_.after(kQuiet / 10, [this] { watch_quiet(); });
+Micros Discovery::patience() const { return spoke_ ? kQuiet : pushed_ ? kAnswerWithin : kAskedWithin; }
+
+// Danger: a watch can break without a word, and an agent can accept and never say one. Danger: when this
+// process stood still, what came meanwhile lies unread; only time in which the loop ran counts.
+void Discovery::watch_quiet(int life, Micros due) {
+  if (life != life_) return;
+  const Micros now = clock_.now();
+  if (now - due > kStoodStill) heard_ = std::max(heard_, now - patience() + kStoodStill);
+  if (now - heard_ >= patience()) return lost("quiet");
+  const Micros next = heard_ + patience();
+  timers_.at(next, [this, life, next] { watch_quiet(life, next); });
 }
 
 void Discovery::connect() {
   const int life = ++life_;
   heard_ = clock_.now();
+  spoke_ = false;
+  watch_quiet(life, heard_);
   pending_.clear();
   lines_.clear();
   parser_.emplace();
@@ -129,6 +143,7 @@
     if (life != life_) return;
     if (ec) return lost(ec.message());
     heard_ = clock_.now();
+    spoke_ = true;
     try {
       took(size);
     } catch (const std::exception& e) {
@@ -154,8 +169,9 @@
     const auto after = parser_->get()[http::field::retry_after];
     double seconds = 0;
     std::from_chars(after.data(), after.data() + after.size(), seconds);
-    // Behind what it told: many are told the same.
-    refused_ = Micros(std::clamp(seconds * 1e6, 0.0, double(kMostRetryAfter))) + turned_away_.next();
+    // Behind what it told: many are told the same. Where lists are pushed there is no line to keep short.
+    if (!pushed_)
+      refused_ = Micros(std::clamp(seconds * 1e6, 0.0, double(kMostRetryAfter))) + turned_away_.next();
     throw std::runtime_error("status " + std::to_string(parser_->get().result_int()));
   }
   lines_ += parser_->get().body();
@@ -188,7 +204,7 @@
   error_code ignored;
   socket_.close(ignored);
   const int life = ++life_;
-  const Micros now = heard_ = clock_.now();
+  const Micros now = clock_.now();
   if (now - logged_ > kLogEvery) {
     logged_ = now;
     std::cerr << "discovery: " << why << "; watching again from " << revision_ << '\n';
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -33,6 +33,8 @@
 class Discovery {
  public:
   using Told = std::function<void(const MemberList&)>;
+  // `most_wait`: between two calls where lists are asked for and discovery turns us away; 0: lists are
+  // pushed, and an agent beside us answers at once and at no cost.
   Discovery(boost::asio::io_context& io, Timers& timers, const Clock& clock,
             boost::asio::ip::tcp::endpoint agent, std::int64_t revision, Told told, std::uint64_t seed = 0,
             Micros most_wait = 0);
@@ -48,12 +50,14 @@
   void took(std::size_t size);
   void line(const std::string& text);
   void lost(const std::string& why);
-  void watch_quiet();
+  Micros patience() const;
+  void watch_quiet(int life, Micros due);
 
   boost::asio::io_context& io_;
   Timers& timers_;
   const Clock& clock_;
   boost::asio::ip::tcp::endpoint agent_;
+  const bool pushed_;
   std::int64_t revision_;
   bool whole_ = false;  // ask for the whole list next
   Told told_;
@@ -63,6 +67,7 @@
   std::string pending_, lines_, request_;
   int life_ = 0;  // of the connection; handlers of earlier ones mean nothing
   Micros heard_ = 0;
+  bool spoke_ = false;   // some of an answer has come on this connection
   Backoff backoff_;      // after a watch that broke or never came up: a matter of this gateway
   Backoff turned_away_;  // by a discovery that has no room, for nobody: up to `most_wait`
   Micros refused_ = 0;   // then: how long to wait
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -103,9 +103,17 @@
   EXPECT_EQ(fake.asked.back(), "/catalog/members?watch=1");
 }
 
-TEST_F(DiscoveryTest, WhoIsTurnedAwayWaitsAsLongAsToldAndHasItsWatchBack) {
+TEST(AskedDiscovery, WhoIsTurnedAwayWaitsAsLongAsToldAndHasItsWatchBack) {
   // Guards against asking anew at once, whatever a 503 says. The list that is known stays meanwhile.
+  asio::io_context io;
+  Clock clock;
+  Timers timers{io, clock};
+  FakeDiscovery fake{io};
+  std::vector<MemberList> told;
+  Discovery discovery{
+      io, timers, clock, fake.address(), 41, [&](const MemberList& l) { told.push_back(l); }, 0, 16'000'000};
   fake.refuse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n";
+  discovery.start();
   ASSERT_TRUE(until(io, [&] { return fake.asked.size() == 1; }));
   const Micros refused = clock.now();
   EXPECT_TRUE(told.empty());
@@ -115,6 +123,46 @@
   EXPECT_GE(clock.now() - refused, 500'000);
 }
 
+TEST_F(DiscoveryTest, APushedListIsThereWithinTheGraceWheneverItsAgentComesBack) {
+  // Guards against a wait during which the agent is back and all it has counts as told. However an agent
+  // sends us away, and however often, the next try is never further off than the grace.
+  ASSERT_TRUE(until(io, [&] { return fake.asked.size() == 1; }));
+  for (const bool resets : {true, false}) {
+    fake.mute = resets;
+    fake.refuse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 10\r\nContent-Length: 0\r\n\r\n";
+    for (int i = 0; i < 12; ++i) {
+      const std::size_t asked = fake.asked.size();
+      fake.peers.back()->reset();
+      const Micros left = clock.now();
+      ASSERT_TRUE(until(io, [&] { return fake.asked.size() > asked; }));
+      EXPECT_LT(clock.now() - left, 250'000) << i;
+    }
+  }
+}
+
+TEST_F(DiscoveryTest, AWatchThatFallsSilentIsReplacedInTimeThoughItsAgentAcceptsAndSaysNothing) {
+  // Guards against a clock that starts anew with each connection: 6 s after the silence all counts as told.
+  fake.first = list(43, true, entry("s1", "127.0.0.1:9"));
+  ASSERT_TRUE(until(io, [&] { return told.size() == 1; }));
+  const Micros silent = clock.now();
+  fake.mute = true;
+  ASSERT_TRUE(until(io, [&] { return fake.asked.size() == 5; }));
+  fake.mute = false;
+  ASSERT_TRUE(until(io, [&] { return told.size() == 2; }));
+  EXPECT_LT(clock.now() - silent, 6'000'000);
+}
+
+TEST_F(DiscoveryTest, AnAgentThatAcceptsAndSaysNothingIsLeftWithinTheGrace) {
+  // Guards against a dead connection that is trusted while the agent behind it has long been back.
+  fake.mute = true;
+  ASSERT_TRUE(until(io, [&] { return fake.asked.size() == 3; }));
+  const Micros back = clock.now();
+  fake.mute = false;
+  fake.first = list(43, true, entry("s1", "127.0.0.1:9"));
+  ASSERT_TRUE(until(io, [&] { return told.size() == 1; }));
+  EXPECT_LT(clock.now() - back, 250'000);
+}
+
 TEST(BackoffTest, WaitsGrowAndThoseOfManyAreSpread) {
   // Guards against a fleet that was started at once and asks at once, again and again.
   std::vector<std::set<Micros>> waits(5);
