Take a pushed list for whole where its brackets close, since lists may come indented

Seen by test on the program as it was: a list written over several lines was taken for a broken one at its first line, and asked for anew for ever, with no server ever told of. At fault: Discovery::took cut at line ends and handed each line to the parser. A list that breaks off is now told by time (150 ms where lists are pushed, within the grace), since heartbeats go on behind it; the test of that also passes without the change and keeps what held.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -7,6 +7,8 @@
 #include <charconv>
 #include <iostream>
 #include <stdexcept>
+#include <string_view>
+#include <utility>
 
 namespace cottonroad::net {
 namespace {
@@ -27,7 +29,9 @@
 constexpr Micros kStoodStill = 30'000;      // us late at our own timer: not the agent is late but we are
 constexpr Micros kTurnedAway = 1'000'000;   // first wait after that, at the most
 constexpr Micros kMostRetryAfter = 30'000'000;  // that is followed
-constexpr std::size_t kMostPending = 4 << 20;   // of one line
+constexpr std::size_t kMostPending = 4 << 20;   // bytes of one list
+// us from a list's first byte to its last. Danger: what it holds counts as told meanwhile, as above.
+constexpr Micros kListWithin = 150'000, kAskedListWithin = 1'000'000;
 constexpr Micros kLogEvery = 10'000'000;
 
 ServerState parse_state(const std::string& phase) {
@@ -117,10 +121,12 @@
   spoke_ = false;
   watch_quiet(life, heard_);
   pending_.clear();
-  lines_.clear();
+  object_.clear();
+  depth_ = 0;
+  quoted_ = escaped_ = false;
   parser_.emplace();
   parser_->eager(true);
-  parser_->body_limit(boost::none);  // a watch has no end; each line has one
+  parser_->body_limit(boost::none);  // a watch has no end; each list has one
   socket_ = tcp::socket(io_);
   socket_.async_connect(agent_, [this, life](error_code ec) {
     if (life != life_) return;
@@ -174,24 +180,45 @@
       refused_ = Micros(std::clamp(seconds * 1e6, 0.0, double(kMostRetryAfter))) + turned_away_.next();
     throw std::runtime_error("status " + std::to_string(parser_->get().result_int()));
   }
-  lines_ += parser_->get().body();
-  parser_->get().body().clear();
-  std::size_t start = 0;
-  for (auto end = lines_.find('\n'); end != std::string::npos; end = lines_.find('\n', start)) {
-    line(lines_.substr(start, end - start));
-    start = end + 1;
-  }
-  lines_.erase(0, start);
-  if (std::max(lines_.size(), pending_.size()) > kMostPending) throw std::runtime_error("a line has no end");
+  text(std::exchange(parser_->get().body(), {}));
+  if (std::max(object_.size(), pending_.size()) > kMostPending) throw std::runtime_error("a list has no end");
   if (parser_->is_done()) lost("the watch ended");
 }
 
-void Discovery::line(const std::string& text) {
+// A list is over where its brackets are, not where its line is: it may come indented. An empty line between
+// two is a heartbeat.
+void Discovery::text(const std::string& piece) {
+  for (const char c : piece) {
+    if (object_.empty()) {
+      if (c == '\n') heard();
+      if (std::string_view(" \t\r\n").find(c) != std::string_view::npos) continue;
+      if (c != '{') throw std::runtime_error("no list");
+      timers_.after(pushed_ ? kListWithin : kAskedListWithin, [this, life = life_, begun = ++begun_] {
+        if (life != life_ || begun != begun_ || object_.empty()) return;
+        whole_ = true;
+        lost("a list does not end");
+      });
+    }
+    object_ += c;
+    if (quoted_) {
+      if (!std::exchange(escaped_, false)) escaped_ = c == '\\', quoted_ = c != '"';
+      continue;
+    }
+    quoted_ = c == '"';
+    if (c == '{' || c == '[') ++depth_;
+    if ((c == '}' || c == ']') && --depth_ == 0) object(std::exchange(object_, {}));
+  }
+}
+
+void Discovery::heard() {
   backoff_.reset();
   turned_away_.reset();
   if (lost_at_ > 0) std::cerr << "discovery: back after " << (clock_.now() - lost_at_) / 1000 << " ms\n";
   lost_at_ = 0;
-  if (text.find_first_not_of(" \r\t") == std::string::npos) return;  // a heartbeat
+}
+
+void Discovery::object(const std::string& text) {
+  heard();
   const MemberList list = parse_members(nlohmann::json::parse(text));
   // Danger: a discovery that has lost its own list would take every server from all gateways at once.
   if (list.complete && list.members.empty()) throw std::runtime_error("an empty list");
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -48,7 +48,9 @@
   void request(int life);
   void read(int life);
   void took(std::size_t size);
-  void line(const std::string& text);
+  void text(const std::string& piece);
+  void heard();
+  void object(const std::string& text);
   void lost(const std::string& why);
   Micros patience() const;
   void watch_quiet(int life, Micros due);
@@ -64,8 +66,12 @@
   boost::asio::ip::tcp::socket socket_;
   std::optional<Parser> parser_;
   std::array<char, 16384> chunk_;
-  std::string pending_, lines_, request_;
-  int life_ = 0;  // of the connection; handlers of earlier ones mean nothing
+  std::string pending_, request_;
+  std::string object_;  // the list that is coming; with line ends in it where it comes indented
+  int depth_ = 0;       // of brackets that are open in it
+  bool quoted_ = false, escaped_ = false;
+  int begun_ = 0;  // lists, so far
+  int life_ = 0;   // of the connection; handlers of earlier ones mean nothing
   Micros heard_ = 0;
   bool spoke_ = false;   // some of an answer has come on this connection
   Backoff backoff_;      // after a watch that broke or never came up: a matter of this gateway
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -45,6 +45,34 @@
   EXPECT_TRUE(told[0].complete);
 }
 
+TEST_F(DiscoveryTest, ListsMayComeIndented) {
+  // Guards against a list that is cut where its lines end, and asked for for ever. Brackets and quotes in a
+  // text end nothing.
+  const auto indented = [](const std::string& line) { return nlohmann::json::parse(line).dump(2) + "\n\n"; };
+  std::string odd = list(43, true, entry(R"(s}]\"{)", "127.0.0.1:9"));
+  fake.first = indented(odd) + "\n" + indented(list(44, false, entry("s2", "127.0.0.1:9")));
+  ASSERT_TRUE(until(io, [&] { return told.size() == 2; }));
+  EXPECT_EQ(told[0].members.at(0).entry.server, "s}]\"{");
+  EXPECT_EQ(told[1].members.at(0).entry.server, "s2");
+  for (const char byte : indented(list(45, true, entry("s3", "127.0.0.1:9"))))
+    fake.tell(std::string(1, byte));
+  ASSERT_TRUE(until(io, [&] { return told.size() == 3; }));
+  EXPECT_EQ(told[2].revision, 45);
+  EXPECT_EQ(fake.asked.size(), 1u);
+}
+
+TEST_F(DiscoveryTest, AListThatBreaksOffIsAskedForWhole) {
+  // Guards against waiting for the end of a list behind which heartbeats go on: what it held would be missed.
+  ASSERT_TRUE(until(io, [&] { return fake.asked.size() == 1; }));
+  const std::string whole = list(43, true, entry("s1", "127.0.0.1:9"));
+  fake.first = whole;
+  const Micros broke = clock.now();
+  fake.tell(whole.substr(0, whole.size() / 2) + "\n\n");
+  ASSERT_TRUE(until(io, [&] { return told.size() == 1; }));
+  EXPECT_LT(clock.now() - broke, 250'000);
+  EXPECT_EQ(fake.asked.back(), "/catalog/members?watch=1");
+}
+
 TEST_F(DiscoveryTest, ABrokenWatchGoesOnAtTheLastRevision) {
   fake.first = list(43, false, "");
   ASSERT_TRUE(until(io, [&] { return told.size() == 1; }));
