Believe the given list only once the agent answers, or after half a second without

Seen by test on the program as it was: with the agent's bytes held back, a new process sent a request by its configuration's list to a server that the agent had as draining, and /_health said 200. What the agent has counts as told from a process's first moment on, so the grace may be over by then. At fault: Driver's constructor told the list at once, and /_health looked at draining alone. Without discovery the list is in force after 0.5 s (readiness took 1 s before); what comes meanwhile is held as while no server has room, and refused at once past that.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -79,7 +79,8 @@
 }
 
 Discovery::Discovery(asio::io_context& io, Timers& timers, const Clock& clock, tcp::endpoint agent,
-                     std::int64_t revision, Told told, std::uint64_t seed, Micros most_wait)
+                     std::int64_t revision, Told told, std::uint64_t seed, Micros most_wait,
+                     std::function<void()> spoke)
     : io_(io),
       timers_(timers),
       clock_(clock),
@@ -87,6 +88,7 @@
       pushed_(most_wait == 0),
       revision_(revision),
       told_(std::move(told)),
+      answers_(std::move(spoke)),
       socket_(io),
       backoff_(pushed_ ? kFirstPause : kFirstBackoff, pushed_ ? kMostPause : kMostBackoff, seed),
       turned_away_(kTurnedAway, std::max(kTurnedAway, most_wait), seed + 1) {}
@@ -180,6 +182,7 @@
       refused_ = Micros(std::clamp(seconds * 1e6, 0.0, double(kMostRetryAfter))) + turned_away_.next();
     throw std::runtime_error("status " + std::to_string(parser_->get().result_int()));
   }
+  answers_();
   text(std::exchange(parser_->get().body(), {}));
   if (std::max(object_.size(), pending_.size()) > kMostPending) throw std::runtime_error("a list has no end");
   if (parser_->is_done()) lost("the watch ended");
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -33,11 +33,13 @@
 class Discovery {
  public:
   using Told = std::function<void(const MemberList&)>;
-  // `most_wait`: between two calls where lists are asked for and discovery turns us away; 0: lists are
-  // pushed, and an agent beside us answers at once and at no cost.
-  Discovery(boost::asio::io_context& io, Timers& timers, const Clock& clock,
-            boost::asio::ip::tcp::endpoint agent, std::int64_t revision, Told told, std::uint64_t seed = 0,
-            Micros most_wait = 0);
+  // `spoke` comes first: the agent answers, whether it has news or not. `most_wait`: between two calls where
+  // lists are asked for and discovery turns us away; 0: lists are pushed, and an agent beside us answers at
+  // once and at no cost.
+  Discovery(
+      boost::asio::io_context& io, Timers& timers, const Clock& clock, boost::asio::ip::tcp::endpoint agent,
+      std::int64_t revision, Told told, std::uint64_t seed = 0, Micros most_wait = 0,
+      std::function<void()> spoke = [] {});
   void start();
   // Watches another agent from now on; what the old one told stands until the new one has told its list.
   void move_to(boost::asio::ip::tcp::endpoint agent);
@@ -63,6 +65,7 @@
   std::int64_t revision_;
   bool whole_ = false;  // ask for the whole list next
   Told told_;
+  std::function<void()> answers_;
   boost::asio::ip::tcp::socket socket_;
   std::optional<Parser> parser_;
   std::array<char, 16384> chunk_;
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -17,7 +17,7 @@
 constexpr Micros kBackstop = 10'000;     // us past our deadline, before the client's: the module said nothing
 constexpr Micros kHandOver = 1'000'000;  // us; clients go on connecting for up to 0.4 s after SIGTERM
 constexpr Micros kLookDrained = 20'000;
-constexpr Micros kTellWithin = 1'000'000;  // us for discovery to tell; then the list we were given must do
+constexpr Micros kTellWithin = 500'000;  // us for discovery to answer; then the list we were given must do
 constexpr std::size_t kClientMemory = 256 << 10;  // bytes a client may come to: three bodies, and buffers
 
 std::size_t most_clients(const Config& c) {
@@ -35,7 +35,7 @@
       dial_timeout_(config.dial_timeout),
       timers_(io, clock_),
       gateway_(config.settings, config.seed),
-      born_(clock_.now()),
+      known_(config.known),
       upstream_(io, timers_, clock_, {config.conn_idle, config.dial_timeout, most_connections(config)},
                 {[this](AttemptKey key, AttemptResult result) { ended(key, std::move(result)); },
                  [this](AttemptKey key) { written(key); },
@@ -55,11 +55,10 @@
           io, timers_, clock_, config.discovery, config.known.revision,
           [this](const MemberList& list) {
             using Kind = ServerListUpdate::Kind;
-            told_ = true;
             told(list, list.complete ? Kind::kComplete : Kind::kPartial);
             look_ready();
           },
-          config.seed, config.discovery_wait),
+          config.seed, config.discovery_wait, [this] { believe_known(); }),
       frontend_(io, timers_, clock_, settings_, most_clients(config),
                 {[this](std::uint64_t client, ClientRequest r) { return took(client, std::move(r)); },
                  [this](std::uint64_t id) { gone(id); },
@@ -67,11 +66,11 @@
                  [this](std::uint64_t id) {
                    if (const auto it = requests_.find(id); it != requests_.end())
                      upstream_.resume({id, int(it->second.attempts.size()) - 1});
-                 }}),
+                 },
+                 [this] { return !known_; }}),
       succession_(io, timers_, config.folder, config.name, config.listen, [this] { met(); }),
       connections_(most_connections(config)) {
   count_at(config.counter);
-  told(config.known, ServerListUpdate::Kind::kPersisted);
   discovery_.start();
   for (const ClassSettings& c : settings_.classes) replies_[c.name];
   if (succession_.predecessor())
@@ -80,7 +79,7 @@
     frontend_.listen(config.listen);
   succession_.wait_for_successor(frontend_.listening());
   met();
-  timers_.after(kTellWithin + 1, [this] { look_ready(); });
+  timers_.after(kTellWithin, [this] { believe_known(); });
   if (config.mgmt)
     operators_.emplace(
         io, timers_, *config.mgmt, [this] { return ready(); }, [this] { return figures(); });
@@ -373,7 +372,17 @@
 bool Driver::ready() const { return !drained_ && frontend_.is_open() && fit(); }
 
 // Servers are known, by discovery if it answers at all.
-bool Driver::fit() const { return upstream_.any_up() && (told_ || clock_.now() - born_ > kTellWithin); }
+bool Driver::fit() const { return upstream_.any_up() && !known_; }
+
+// Danger: what the agent has counts as told from our first moment on, and the list that we were given may
+// name servers that have long been draining. So it is in force only once the agent answers, with its news
+// right behind; without one it must do. What comes meanwhile is held as while no server has room.
+void Driver::believe_known() {
+  if (!known_) return;
+  const MemberList known = *std::exchange(known_, std::nullopt);
+  told(known, ServerListUpdate::Kind::kPersisted);
+  look_ready();
+}
 
 std::string Driver::figures() const {
   std::string out;
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -122,6 +122,7 @@
   void met();
   void look_ready();
   bool fit() const;
+  void believe_known();
   void count_at(const std::optional<boost::asio::ip::tcp::endpoint>& address);
 
   boost::asio::io_context& io_;
@@ -135,8 +136,7 @@
   std::uint64_t last_ = 0;
   std::map<std::string, Replies> replies_;  // by class, also of those that the settings no longer name
   std::uint64_t concurrent_ = 0, dispatches_ = 0, reload_success_ = 0, reload_failure_ = 0;
-  bool told_ = false;  // by discovery, since the start
-  const Micros born_;
+  std::optional<MemberList> known_;  // the list that we were given, until it is in force
   std::vector<Event> events_;
   bool flushing_ = false;
   std::function<void()> drained_;
--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -248,8 +248,9 @@
     if (!request_in_) {
       parser_.reset();
       Answer health;
-      health.status = front_.draining_ ? 503 : 200;
-      health.body = front_.draining_ ? "draining\n" : "ok\n";
+      const bool starting = !front_.events_.serves();
+      health.status = front_.draining_ || starting ? 503 : 200;
+      health.body = front_.draining_ ? "draining\n" : starting ? "starting\n" : "ok\n";
       return write(health, closes());
     }
     ClientRequest request = std::move(*request_in_);
--- a/src/net/frontend.hpp
+++ b/src/net/frontend.hpp
@@ -29,6 +29,8 @@
   std::function<void(std::uint64_t request, const std::string& piece, bool last)> body;
   // The piece of the answer that was passed last has left.
   std::function<void(std::uint64_t request)> sent;
+  // Whether those before us may take us in, as /_health says.
+  std::function<bool()> serves = [] { return true; };
 };
 
 class Frontend {
