End at SIGTERM only when nothing is owed, and before SIGKILL could come

Seen by test on the program as it was: of requests that lay unread when the second after SIGTERM was over, in the accept queue or on a session that had been silent, two of three were reset; the process ended 20 ms after an answer whose client had not closed; a request of 4 s that no server answered was open at 3.7 s, where SIGKILL may come. At fault: Frontend::stop_accepting closed the listener and resting sessions unlooked at; quiet() took a closing session for done; drain_until_ was the longest deadline and 1 s after SIGTERM, not what SIGKILL leaves (3 s at most, and 0.7 s). Now new clients are let in to the end, the end looks at the queue and at unread bytes, and attempts end 150 ms before SIGKILL, so that the module still tells what becomes of their requests. Test ports are taken from below the kernel's own: one in 36 plays of the succession test met a port that another test had been given meanwhile.

--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -17,6 +17,9 @@
 constexpr Micros kBackstop = 10'000;     // us past our deadline, before the client's: the module said nothing
 constexpr Micros kHandOver = 1'000'000;  // us; clients go on connecting for up to 0.4 s after SIGTERM
 constexpr Micros kLookDrained = 20'000;
+constexpr Micros kLongestCounted = 3'000'000, kKilledAfter = 700'000;  // us from SIGTERM to SIGKILL, together
+constexpr Micros kBeforeKill = 150'000;  // us that the last attempts end before that
+constexpr Micros kLastWords = 100'000;   // us of these for the answers to leave
 constexpr Micros kTellWithin = 500'000;  // us for discovery to answer; then the list we were given must do
 constexpr std::size_t kClientMemory = 256 << 10;  // bytes a client may come to: three bodies, and buffers
 
@@ -96,7 +99,7 @@
   r.replies = &replies_[request.arrived.request_class];
   ++concurrent_;
   r.patience = patience - std::min(kEarly, Micros(kEarlyShare * double(patience)));
-  r.deadline = now + r.patience;
+  r.deadline = latest(now + r.patience);
   r.whole = request.outgoing.whole;
   r.outgoing = std::move(request.outgoing);
   request.arrived.id = std::to_string(id);  // ours, since a client's may come twice
@@ -193,7 +196,7 @@
   if (it == requests_.end() || !it->second.fed) return;
   Attempt& a = it->second.attempts.at(std::size_t(key.attempt));
   a.sent = clock_.now();
-  a.until = a.sent + a.patience;
+  a.until = latest(a.sent + a.patience);
   timers_.at(a.until, [this, key] { expire(key); });
   push(AttemptWritten{std::to_string(key.request), key.attempt});
 }
@@ -205,7 +208,7 @@
   r.fed = true;
   r.whole = last;
   if (last) {
-    r.deadline = clock_.now() + r.patience;
+    r.deadline = latest(clock_.now() + r.patience);
     timers_.at(r.deadline + kBackstop, [this, id] { overdue(id); });
   }
   upstream_.feed({id, int(r.attempts.size()) - 1}, piece, last);
@@ -421,7 +424,7 @@
     frontend_.leave();
   } else if (succession_.predecessor()) {
     look_ready();
-  } else if (!frontend_.is_open() && !stopped_) {
+  } else if (!frontend_.is_open()) {
     frontend_.open();
   }
 }
@@ -434,24 +437,45 @@
 }
 
 // ---- The end ------------------------------------------------------------------------------------------
+// Danger: at a planned restart we are killed once the longest deadline has passed, counted as 3 s where it is
+// longer, and 0.7 s more. What is unanswered then is lost, so all of it has its answer shortly before.
 void Driver::drain(std::function<void()> done) {
   if (drained_) return;
   drained_ = std::move(done);
   Micros longest = 0;
   for (const ClassSettings& c : settings_.classes) longest = std::max(longest, c.deadline);
-  drain_until_ = clock_.now() + kHandOver + longest;
+  drain_until_ = clock_.now() + std::min(longest, kLongestCounted) + kKilledAfter - kBeforeKill;
   frontend_.drain();
-  timers_.after(kHandOver, [this] {
-    stopped_ = true;
-    if (!succession_.taken()) frontend_.stop_accepting();  // else new clients are the successor's
-    look_drained();
-  });
+  timers_.after(kHandOver, [this] { look_drained(); });
+  timers_.at(drain_until_, [this] { hurry(); });
+  timers_.at(drain_until_ + kBackstop, [this] { end_all(); });
+}
+
+// Attempts have had their time; the module tells what becomes of their requests.
+void Driver::hurry() {
+  std::vector<AttemptKey> out;
+  for (auto& [id, r] : requests_) {
+    r.deadline = latest(r.deadline);
+    for (std::size_t i = 0; i < r.attempts.size(); ++i)
+      if (r.attempts[i].out) out.push_back({id, int(i)}), r.attempts[i].until = latest(r.attempts[i].until);
+  }
+  for (const AttemptKey& key : out) expire(key);
+}
+
+void Driver::end_all() {
+  std::vector<std::uint64_t> open;
+  for (const auto& [id, r] : requests_)
+    if (!r.answered) open.push_back(id);
+  for (const auto id : open) {
+    const Request& r = requests_.at(id);
+    r.streaming ? frontend_.cut(r.client) : overdue(id);
+  }
 }
 
 void Driver::look_drained() {
   const bool held = std::any_of(requests_.begin(), requests_.end(),
                                 [](const auto& entry) { return !entry.second.answered; });
-  if ((!held && frontend_.quiet()) || clock_.now() >= drain_until_) return drained_();
+  if ((!held && frontend_.quiet()) || clock_.now() >= drain_until_ + kLastWords) return drained_();
   timers_.after(kLookDrained, [this] { look_drained(); });
 }
 
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -50,7 +50,7 @@
   // Takes what may change while it runs: the settings, and where discovery and the counter are. The rest
   // waits for a restart.
   void reload(const Config& config);
-  // Goes on accepting for the hand-over, finishes what is held, then calls `done`, once.
+  // Goes on accepting, finishes all that has come before we may be killed, then calls `done`, once.
   void drain(std::function<void()> done);
   // A configuration that was turned down.
   void reload_failed() { ++reload_failure_; }
@@ -117,6 +117,9 @@
   // Counts the request's end. False if it has ended before.
   bool close(Request& request, std::uint64_t Replies::*end);
   void forget(Requests::iterator it);
+  Micros latest(Micros at) const { return drained_ ? std::min(at, drain_until_) : at; }
+  void hurry();
+  void end_all();
   void look_drained();
   // The processes of this gateway, or what they do, have changed.
   void met();
@@ -141,7 +144,6 @@
   bool flushing_ = false;
   std::function<void()> drained_;
   Micros drain_until_ = 0;
-  bool stopped_ = false;  // no new clients are let in any more
   Upstream upstream_;
   boost::asio::ip::tcp::endpoint discovery_at_;
   std::optional<boost::asio::ip::tcp::endpoint> counter_at_;
--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -1,5 +1,6 @@
 #include "frontend.hpp"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -26,7 +27,8 @@
 constexpr std::size_t kMostAhead = 4 << 10;  // read while a request is held
 constexpr Micros kHeadWithin =
     2'600'000;  // us from connecting, or a head's first byte, to the end of the head
-constexpr Micros kBodyQuiet = 2'000'000;    // us without a byte of a body: its client is stuck, not slow
+constexpr Micros kBodyQuiet = 2'000'000;     // us without a byte of a body: its client is stuck, not slow
+constexpr Micros kSpeaksWithin = 1'000'000;  // us from connecting; who has said nothing by then asks nothing
 constexpr Micros kIdle = 4'000'000;         // us between requests; some clients never come back, none says so
 constexpr Micros kTakeWithin = 10'000'000;  // us to take an answer, or one piece of it
 constexpr int kSendBuffer = 256 << 10;  // bytes, of a long answer. Danger: with megabytes there, slow clients
@@ -148,6 +150,13 @@
   }
   State state() const { return state_; }
   bool served() const { return served_; }
+  // Something will be lost if it ends now. Danger: also an answer that has left, while its client has not
+  // closed: what comes from there would be unread and reset it.
+  bool owes(Micros now) const {
+    error_code ec;
+    if (state_ != State::kBetween) return state_ != State::kClosed;
+    return (!served_ && now - born_ < kSpeaksWithin) || socket_.available(ec) > 0;
+  }
   Micros since() const { return since_; }
 
   // Where many want in, who goes first: 0 not at all; then those that had their answer, those that never said
@@ -524,20 +533,12 @@
   for (const auto& [client, s] : sessions) s->close_between();
 }
 
-void Frontend::stop_accepting() {
-  open_ = false;
-  error_code ignored;
-  acceptor_.close(ignored);
-  const auto sessions = sessions_;
-  for (const auto& [client, s] : sessions)
-    if (s->state() == Session::State::kBetween) s->close();
-}
-
-bool Frontend::quiet() const {
-  return std::none_of(sessions_.begin(), sessions_.end(), [](const auto& entry) {
-    const auto state = entry.second->state();
-    return state != Session::State::kBetween && state != Session::State::kClosing;
-  });
+bool Frontend::quiet() {
+  pollfd queue{acceptor_.native_handle(), POLLIN, 0};
+  if (!leaving_ && ::poll(&queue, 1, 0) > 0) return false;
+  const Micros now = clock_.now();
+  return std::none_of(sessions_.begin(), sessions_.end(),
+                      [now](const auto& entry) { return entry.second->owes(now); });
 }
 
 void Frontend::sweep() {
--- a/src/net/frontend.hpp
+++ b/src/net/frontend.hpp
@@ -59,11 +59,11 @@
   void cut(std::uint64_t client);
   // Asks for the next piece of the request's body.
   void pull(std::uint64_t client);
-  // Closes connections between requests; new ones are taken until stop_accepting().
+  // Closes connections between requests. New ones are taken to the end; each has one answer.
   void drain();
-  void stop_accepting();
-  // Nothing is being read, held or written.
-  bool quiet() const;
+  // Nothing is being read, held, written or still on its way to who reads it, nor lies unread, also of those
+  // that nobody has let in yet.
+  bool quiet();
 
  private:
   class Session;
--- a/tests/net/moments_test.cpp
+++ b/tests/net/moments_test.cpp
@@ -2,6 +2,7 @@
 // comes every time.
 #include <gtest/gtest.h>
 
+#include <list>
 #include <thread>
 
 #include "loopback.hpp"
@@ -13,6 +14,9 @@
 
 class MomentsTest : public ::testing::Test {
  protected:
+  MomentsTest() {
+    for (ClassSettings& c : rig.config.settings.classes) c.aim = 3'000'000;  // room to wait for a server
+  }
   int status(Client& c) {
     const auto answer = c.receive();
     return answer ? int(answer->result_int()) : 0;
@@ -27,7 +31,6 @@
 TEST_F(MomentsTest, ANewProcessSendsNothingByItsOldListBeforeItsAgentHasSpoken) {
   // Guards against requests to a server that the agent has long had as draining, and against being taken in.
   rig.know(member("s1", s1));
-  for (ClassSettings& c : rig.config.settings.classes) c.aim = 3'000'000;
   rig.discovery.mute = true;
   rig.start();
   Client c = rig.client(), front = rig.client();
@@ -63,5 +66,70 @@
   }
 }
 
+// ---- SIGTERM ------------------------------------------------------------------------------------------
+TEST_F(MomentsTest, WhatLiesUnreadOrWaitsToBeLetInHasItsAnswerBeforeTheEnd) {
+  // Guards against an end that comes in the same turn of the loop as the last requests.
+  std::list<FakeServer> servers;
+  for (int i = 0; i < 6; ++i) rig.know(member(label("s", i), servers.emplace_back(rig.io)));
+  Driver& driver = rig.start();
+  bool done = false;
+  Client early = rig.client();  // connected before, and silent so far
+  const Micros asked = Clock().now();
+  driver.drain([&] { done = true; });
+  ASSERT_TRUE(rig.until([&] { return Clock().now() - asked > 900'000; }));
+  ASSERT_FALSE(done);
+  std::vector<Client> queue;
+  for (int i = 0; i < 3; ++i) queue.push_back(rig.client());
+  for (int i = 0; i < 3; ++i) queue[std::size_t(i)].send(get(label("q", i)));
+  early.send(get("e"));
+  stand_still(std::chrono::milliseconds(300));
+  for (Client& c : queue) EXPECT_EQ(status(c), 200);
+  EXPECT_EQ(status(early), 200);
+  ASSERT_TRUE(rig.until([&] { return done; }));
+}
+
+TEST_F(MomentsTest, AnAnswerThatItsClientHasNotTakenKeepsTheProcess) {
+  // Guards against an exit that resets a connection on which more has come, and takes the answer with it.
+  std::shared_ptr<Peer> held;
+  s1.on_request = [&](Peer& p, const Request_&) { held = p.shared_from_this(); };
+  rig.know(member("s1", s1));
+  Driver& driver = rig.start();
+  Client c = rig.client();
+  c.send(get("a"));
+  ASSERT_TRUE(rig.until([&] { return held != nullptr; }));
+  bool done = false;
+  const Micros asked = Clock().now();
+  driver.drain([&] { done = true; });
+  ASSERT_TRUE(rig.until([&] { return Clock().now() - asked > 1'100'000; }));
+  held->write(reply("200 OK", "", "held"));
+  ASSERT_TRUE(rig.until([&] { return c.socket.available() > 0; }));
+  const Micros answered = Clock().now();
+  ASSERT_TRUE(rig.until([&] { return done || Clock().now() - answered > 200'000; }));
+  EXPECT_FALSE(done);
+  EXPECT_EQ(status(c), 200);
+  c.socket.close();
+  ASSERT_TRUE(rig.until([&] { return done; }));
+}
+
+TEST_F(MomentsTest, WhatNoServerAnswersIsAnsweredBeforeSigkillCouldCome) {
+  // SIGKILL comes 3.7 s after SIGTERM where deadlines are longer than 3 s; these are 4 s, and one came
+  // before.
+  s1.on_request = [](Peer&, const Request_&) {};
+  rig.know(member("s1", s1));
+  Driver& driver = rig.start();
+  Client before = rig.client(), open = rig.client();
+  before.send(post("a"));
+  ASSERT_TRUE(rig.until([&] { return s1.requests.size() == 1; }));
+  bool done = false;
+  const Micros asked = Clock().now();
+  driver.drain([&] { done = true; });
+  open.send(get("b"));
+  const int failed = status(before);
+  EXPECT_TRUE(failed == 502 || failed == 504) << failed;  // it may have run: no refusal
+  EXPECT_GE(status(open), 429);
+  ASSERT_TRUE(rig.until([&] { return done; }));
+  EXPECT_LT(Clock().now() - asked, 3'700'000);
+}
+
 }  // namespace
 }  // namespace cottonroad::net::testing
--- a/tests/net/process.hpp
+++ b/tests/net/process.hpp
@@ -72,8 +72,16 @@
   int errors_ = -1;
 };
 
+// Below those that the kernel hands out: one of these could be anybody's before the process binds it.
 inline std::uint16_t free_port(asio::io_context& io) {
-  return tcp::acceptor(io, {asio::ip::address_v4::loopback(), 0}).local_endpoint().port();
+  static std::uint16_t next = std::uint16_t(12'000 + ::getpid() % 1'000 * 16);
+  while (true) {
+    tcp::acceptor at(io, tcp::v4());
+    at.set_option(tcp::acceptor::reuse_address(true));
+    error_code taken;
+    at.bind({asio::ip::address_v4::loopback(), ++next}, taken);
+    if (!taken) return next;
+  }
 }
 
 inline std::string config(std::uint16_t port, const Listener& server, const Listener& discovery,
