Evict no client whose request's last bytes lie unread

Seen by test on the program as it was: with all client slots taken by requests of which only a part had come, and their rest arriving just behind new clients, the first of them was closed unread. At fault: Session::expendable asked only sessions between requests for unread bytes, not those that read one.

--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -175,8 +175,8 @@
         return 4;
       case State::kBetween:
         return socket_.available(ec) > 0 ? 0 : said_ ? 2 : 3;
-      case State::kReading:
-        return 1;
+      case State::kReading:  // its last byte may have come
+        return socket_.available(ec) > 0 ? 0 : 1;
       default:
         return 0;
     }
--- a/tests/net/moments_test.cpp
+++ b/tests/net/moments_test.cpp
@@ -166,5 +166,28 @@
     }
 }
 
+TEST_F(MomentsTest, AFullHouseMakesNoRoomByEndingWhoseLastByteHasCome) {
+  // Guards against an eviction between a request's last byte and its reading: the new client comes first.
+  std::list<FakeServer> servers;
+  for (int i = 0; i < 60; ++i) rig.know(member(label("s", i), servers.emplace_back(rig.io)));
+  rig.config.sockets = 64;  // 24 clients
+  rig.start();
+  std::vector<Client> crowd;
+  for (int i = 0; i < 24; ++i) {
+    crowd.push_back(rig.client());
+    crowd.back().send(get(label("c", i)).substr(0, 60));
+  }
+  // All are let in and their beginnings read: what each gets after is its own.
+  for (int turn = 0; turn < 5; ++turn) rig.io.restart(), rig.io.poll();
+  std::vector<Client> more;
+  for (int i = 0; i < 3; ++i) {
+    more.push_back(rig.client());
+    more.back().send(get(label("m", i)));
+  }
+  for (std::size_t i = 0; i < crowd.size(); ++i) crowd[i].send(get(label("c", int(i))).substr(60));
+  for (Client& c : crowd) EXPECT_GE(status(c), 200);
+  for (Client& c : more) EXPECT_GE(status(c), 200);
+}
+
 }  // namespace
 }  // namespace cottonroad::net::testing
