A place of the operators that can't be had no longer ends the start

Seen by test on the program as it was: with the operators' address taken, the process ended with 'Address already in use' and no client was served. At fault: Operators bound in its constructor and threw; Frontend threw where SO_REUSEADDR is refused. Now the door is tried again every 0.5 s, and logged.

--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -449,7 +449,8 @@
   // Danger: a process that could not be asked for its socket may still listen there. Then both do, each with
   // a queue of its own.
   acceptor_.open(at.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  error_code ignored;
+  acceptor_.set_option(tcp::acceptor::reuse_address(true), ignored);
   const int on = 1;
   ::setsockopt(acceptor_.native_handle(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
   acceptor_.bind(at);
--- a/src/net/operators.cpp
+++ b/src/net/operators.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <iostream>
 #include <string_view>
 
 #include "framing.hpp"
@@ -22,7 +23,7 @@
 constexpr std::uint64_t kMostCallBody = 4 << 10;
 constexpr Micros kCallWithin = 2'500'000;  // us from connecting to the end of the call
 constexpr Micros kLinger = 500'000;        // us for the caller to take its answer before the close
-constexpr Micros kAcceptAgain = 20'000;
+constexpr Micros kAcceptAgain = 20'000, kListenAgain = 500'000;
 
 }  // namespace
 
@@ -129,15 +130,24 @@
 
 Operators::Operators(asio::io_context& io, Timers& timers, const tcp::endpoint& at,
                      std::function<bool()> ready, std::function<std::string()> figures)
-    : timers_(timers), ready_(std::move(ready)), figures_(std::move(figures)), acceptor_(io) {
-  acceptor_.open(at.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(at);
-  acceptor_.listen();
-  accept();
+    : timers_(timers), at_(at), ready_(std::move(ready)), figures_(std::move(figures)), acceptor_(io) {
+  listen();
 }
 Operators::~Operators() = default;
 
+// Danger: a door that can't be opened must not keep the gateway from serving; another try may.
+void Operators::listen() {
+  error_code ec, ignored;
+  acceptor_.open(at_.protocol(), ec);
+  acceptor_.set_option(tcp::acceptor::reuse_address(true), ignored);
+  if (!ec) acceptor_.bind(at_, ec);
+  if (!ec) acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+  if (!ec) return accept();
+  std::cerr << "operators: " << ec.message() << "; trying again\n";
+  acceptor_.close(ignored);
+  timers_.after(kListenAgain, [this] { listen(); });
+}
+
 void Operators::accept() {
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     if (!acceptor_.is_open()) return;
--- a/src/net/operators.hpp
+++ b/src/net/operators.hpp
@@ -25,9 +25,11 @@
 
  private:
   class Caller;
+  void listen();
   void accept();
 
   Timers& timers_;
+  const boost::asio::ip::tcp::endpoint at_;
   std::function<bool()> ready_;
   std::function<std::string()> figures_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/tests/net/operators_test.cpp
+++ b/tests/net/operators_test.cpp
@@ -42,6 +42,26 @@
   EXPECT_FALSE(rig.driver->operators_address());
 }
 
+TEST_F(OperatorsTest, APlaceThatCannotBeHadKeepsNobodyFromServing) {
+  // Guards against a start that is refused because another process still has the operators' place.
+  tcp::acceptor other(rig.io, {asio::ip::address_v4::loopback(), 0}, false);
+  const auto place = other.local_endpoint();
+  rig.config.mgmt = place;
+  rig.know(member("s1", s1));
+  rig.start();
+  Client c = rig.client();
+  c.send(get("a"));
+  EXPECT_EQ(status(c), 200);
+  other.close();
+  ASSERT_TRUE(rig.until([&] {
+    error_code ec;
+    tcp::socket again(rig.io);
+    again.connect(place, ec);
+    return !ec;
+  }));
+  EXPECT_EQ(readiness(), 200);
+}
+
 TEST_F(OperatorsTest, ReadyOnceServersAreKnownAndUntilItDrains) {
   rig.discovery.mute = true;
   rig.start();
