Send nothing to a server that moved or restarted while its connect was under way

Seen by test on the program as it was: a request whose connect was under way when the list told another address, or a new start, for its server went to the process that had been left, or cold to the new one. Ruled out: connects that come up after their attempt ended carry nothing, and an answer that trickles for ever ends in time; tests now bind both and passed without a change. At fault: Upstream::connect asked only whether the server was up.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -107,6 +107,7 @@
   State state = State::kConnecting;
   std::string server;
   tcp::endpoint address;
+  Micros started_at = 0;  // of the process that it was opened to
   tcp::socket socket;
   AttemptKey attempt;
   std::string out, pending;
@@ -253,6 +254,7 @@
     c = std::make_shared<Connection>(io_);
     c->server = server;
     c->address = found->second.address;
+    c->started_at = found->second.started_at;
     ++open_;
   }
   c->attempt = key;
@@ -324,9 +326,12 @@
   c->socket.async_connect(c->address, [this, c](error_code ec) {
     if (c->state != Connection::State::kConnecting) return;
     if (ec) return end(c, {Outcome::kConnectFailed, {}, {}}, false);
-    // Danger: the server may have been told off while the connect was under way.
+    // Danger: the server may have been told off while the connect was under way, or be another process by
+    // now.
     const auto pool = pools_.find(c->server);
-    if (pool == pools_.end() || !pool->second.up) return end(c, {Outcome::kNotSent, {}, {}}, false);
+    if (pool == pools_.end() || !pool->second.up || pool->second.address != c->address ||
+        pool->second.started_at != c->started_at)
+      return end(c, {Outcome::kNotSent, {}, {}}, false);
     error_code ignored;
     c->socket.set_option(tcp::no_delay(true), ignored);
     c->socket.non_blocking(true, ignored);
--- a/tests/net/moments_test.cpp
+++ b/tests/net/moments_test.cpp
@@ -131,6 +131,29 @@
   EXPECT_LT(Clock().now() - asked, 3'700'000);
 }
 
+// ---- Servers ------------------------------------------------------------------------------------------
+TEST_F(MomentsTest, AnAnswerThatTricklesForEverHasItsEndInTimeAndKeepsNothing) {
+  // A byte every 10 ms, in a chunk of its own, so that it never is quiet and never whole.
+  s1.on_request = [](Peer& p, const Request_&) {
+    p.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  };
+  rig.know(member("s1", s1));
+  rig.start();
+  Client c = rig.client();
+  const Micros asked = Clock().now();
+  c.send(post("a", "600m"));
+  Micros wrote = asked;
+  ASSERT_TRUE(rig.until([&] {
+    const bool due = Clock().now() - wrote > 10'000 && !s1.requests.empty() && !s1.peers[0]->over;
+    if (due) s1.peers[0]->write("1\r\nx\r\n"), wrote = Clock().now();
+    return c.socket.available() > 0;
+  }));
+  EXPECT_LT(Clock().now() - asked, 600'000);
+  EXPECT_EQ(status(c), 504);
+  EXPECT_EQ(s1.requests.size(), 1u);
+  ASSERT_TRUE(rig.until([&] { return s1.peers.at(0)->over; }));
+}
+
 // ---- Clients ------------------------------------------------------------------------------------------
 TEST_F(MomentsTest, AClientThatSentMuchAheadAndLeftIsNotSentOn) {
   // Guards against an end that lies unread behind what was sent ahead, be it in order or a reset.
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -117,6 +117,19 @@
   list.members[0].address = full.local_endpoint();
   upstream->update(list);
   EXPECT_EQ(result(1).outcome, Outcome::kConnectFailed);
+  // What comes up after that carries nothing.
+  std::size_t accepted = 0;
+  fillers.clear();
+  full.non_blocking(true);
+  for (error_code ec; !ec;) {
+    tcp::socket late(io);
+    full.accept(late, ec);
+    char byte;
+    error_code ended;
+    if (!ec) ++accepted, late.read_some(asio::buffer(&byte, 1), ended);
+    EXPECT_TRUE(ec || ended);
+  }
+  EXPECT_GE(accepted, 1u);
 }
 
 TEST_F(UpstreamTest, BrokenBeforeTheLastByteNeverRan) {
@@ -309,6 +322,24 @@
   EXPECT_TRUE(server.requests.empty());
 }
 
+TEST_F(UpstreamTest, AServerThatMovesOrRestartsDuringTheConnectIsSentNothingThere) {
+  // Guards against a first byte to a process that is gone from the list, or to a cold one in its place.
+  FakeServer moved(io);
+  for (const bool moves : {true, false}) {
+    results.clear();
+    make();
+    send(1);
+    list.complete = false;
+    if (moves) list.members[0].address = moved.address();
+    if (!moves) list.members[0].entry.started_at = clock.now();
+    upstream->update(list);
+    ASSERT_TRUE(until(io, [&] { return !results.empty(); }));
+    EXPECT_EQ(results[0].second.outcome, Outcome::kNotSent) << moves;
+    ASSERT_TRUE(until(io, [&] { return server.peers.empty() || server.peers.back()->over; }));
+    EXPECT_TRUE(server.requests.empty()) << moves;
+  }
+}
+
 TEST_F(UpstreamTest, AServerThatDrainsOrIsUnknownIsSentNothing) {
   make();
   list.members[0].entry.state = ServerState::kRemoved;
