--- a/include/cottonroad/gateway.hpp
+++ b/include/cottonroad/gateway.hpp
@@ -1,4 +1,4 @@
-// cottonroad: the interface of the decision module. Plain types only; every decision is in src/brain.cpp.
+// cottonroad: the interface of the decision module. Plain types only; every decision is in src/brain.cpp and src/policy/.
 #pragma once
 
 #include <cstdint>
