Module: counts for the log and their text move to src/support, behaviour unchanged

What only tells the log why requests were refused and how calls went decides nothing: it lies in src/support/report.hpp now. Repeated look-ups that erase became one call, and an open request is closed in one place.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -5,6 +5,7 @@
 #include "cottonroad/gateway.hpp"
 #include "policy/ceilings.hpp"
 #include "policy/servers.hpp"
+#include "support/report.hpp"
 
 namespace cottonroad {
 namespace {
@@ -26,10 +27,9 @@
 struct Attempt {
   Server* server = nullptr;
   Micros sent = 0;
-  bool out = true;
+  bool out = true, may_have_run = true;
   bool with_server = true;  // all of it; a long body that comes slowly takes no room there
-  bool may_have_run = true;
-  bool blamed = false;  // cancelled by us because its server had stalled
+  bool blamed = false;      // cancelled by us because its server had stalled
 };
 
 // A class as it was when its requests came, and what its answers tell.
@@ -44,17 +44,12 @@
   std::shared_ptr<Class> cls;
   int most_attempts = 1;
   Customer* customer = nullptr;
-  double units = 1;
-  double quota_units = 1;  // what it takes of the quota: units, or attempt-seconds under an open cap
-  double expected = 0;     // us; its answer time, by its class and units
-  double value = 1;        // worth a unit of expected work: who goes first when servers are full
-  Micros arrived = 0;
-  Micros hold_until = 0;
-  Micros give_up = 0;  // no answer after this earns anything
-  bool body_follows = false;
-  bool over = false;  // beyond the quota as far as we know
-  bool done = false;
-  bool held = false;
+  double units = 1, quota_units = 1;  // the latter of the quota: units, or attempt-seconds under an open cap
+  double expected = 0;                // us; its answer time, by its class and units
+  double value = 1;                   // worth a unit of expected work: who goes first when servers are full
+  Micros arrived = 0, hold_until = 0, give_up = 0;  // no answer after the last earns anything
+  bool over = false;                                // beyond the quota as far as we know
+  bool body_follows = false, done = false, held = false;
   double Customer::*taken_from = nullptr;  // its units; null: they are not taken
   bool waits = false;                      // for the first total of its customer
   int out = 0;
@@ -160,18 +155,14 @@
   }
 
   void on(const ClientGone& e) {
-    Request* r = find(e.id);
-    if (!r) return;
-    finish(*r);
-    forget(*r);
+    if (Request* r = find(e.id)) close(*r);
   }
 
   void on(const TimerFired& e) {
     if (e.token == kLook) return look();
-    auto found = timers_.find(e.token);
-    if (found == timers_.end()) return;
-    const auto [id, attempt] = found->second;
-    timers_.erase(found);
+    const auto timer = timers_.extract(e.token);
+    if (timer.empty()) return;
+    const auto [id, attempt] = timer.mapped();
     Request* r = find(id);
     if (!r || r->done) return;
     if (attempt >= 0) doubt(*r, attempt);
@@ -191,10 +182,7 @@
     if (now_ - told_at_ < kLogEvery) return;
     told_at_ = now_;
     const Refusals r = std::exchange(refusals_, {});
-    if (r.slice + r.ceiling + r.servers == 0) return;
-    log("refused", join("slice ", r.slice, " (no total ", r.blind, ", demand within quota ", r.within,
-                        "), ceiling ", r.ceiling, " (slice had it ", r.sliced, "), servers ", r.servers,
-                        " of ", r.asked, "; ", slices_.state(now_), "; ", servers_.state(now_)));
+    if (r.any()) log("refused", join(r.text(), slices_.state(now_), "; ", servers_.state(now_)));
   }
 
   void on(const RequestArrived& e) {
@@ -203,8 +191,7 @@
     const std::shared_ptr<Class> cls = known != classes_.end() ? known->second : unknown_class_;
     const PlanSettings* plan = &plans_[e.plan];  // one that nobody knows has no quota
     Customer& c = slices_.find(now_, e, *plan);
-    double& usual = cls->usual_units;
-    usual += (usual > 0 ? kMeanGain : 1.0) * (e.units - usual);
+    cls->usual_units += (cls->usual_units > 0 ? kMeanGain : 1.0) * (e.units - cls->usual_units);
     const double quota_units = plan->rate > 0 ? e.units : expected(*cls, e.units) / kSecond;
     slices_.count(now_, c, quota_units);
     Request& r = requests_[e.id];
@@ -260,8 +247,7 @@
       // Danger: with units left in the slice the advice would be to come at once, and be refused at once.
       const Micros room = under_ceiling ? 0 : ceilings_.room_in(now_, c, r.units);
       emit(Refuse{r.id, slices_.retry_after(c, r.quota_units, r.cls->aim, room)});
-      finish(r);
-      return forget(r);
+      return close(r);
     }
     r.over = !within;
     if (within) r.taken_from = slices_.take(c, r.quota_units);
@@ -347,8 +333,7 @@
     if (!found || e.attempt < 0 || e.attempt >= int(found->attempts.size())) return;
     Request& r = *found;
     Attempt& a = r.attempts[std::size_t(e.attempt)];
-    if (!a.out) return;
-    a.out = false;
+    if (!std::exchange(a.out, false)) return;
     --r.out;
     --r.customer->open;
     using O = Outcome;
@@ -403,6 +388,10 @@
       if (r.attempts[i].out && !r.cls->streamed) emit(CancelAttempt{r.id, int(i)});
   }
 
+  void close(Request& r) {
+    finish(r);
+    forget(r);
+  }
   void forget(const Request& r) {
     if (r.done && r.out == 0 && !r.held) requests_.erase(requests_.find(r.id));
   }
@@ -458,9 +447,7 @@
   std::unordered_map<std::int64_t, std::pair<std::string, int>> timers_;
   std::map<std::string, Micros> logged_;
   std::vector<std::string> held_;
-  struct Refusals {  // since last told, by reason
-    int asked = 0, slice = 0, blind = 0, within = 0, ceiling = 0, sliced = 0, servers = 0;
-  } refusals_;
+  Refusals refusals_;  // since last told
   Micros now_ = 0, next_look_ = 0, told_at_ = 0;
   std::vector<Action>* out_ = nullptr;
   std::int64_t timer_ = 1;
--- a/src/policy/ceilings.hpp
+++ b/src/policy/ceilings.hpp
@@ -60,10 +60,9 @@
 
   // Returns the customer, if the call was one of ours. What may or may not have been added is not used.
   Customer* answered(Micros now, const CounterAnswered& a) {
-    const auto found = pending_.find(a.name);
-    if (found == pending_.end()) return nullptr;
-    const Draw d = found->second;
-    pending_.erase(found);
+    const auto call = pending_.extract(a.name);
+    if (call.empty()) return nullptr;
+    const Draw& d = call.mapped();
     Customer& c = *d.customer;
     c.reserving = false;
     if (a.outcome != CountOutcome::kOk || d.window != window(now, c)) return &c;
--- a/src/policy/quota.hpp
+++ b/src/policy/quota.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "support/numbers.hpp"
+#include "support/report.hpp"
 
 namespace cottonroad::policy {
 
@@ -232,9 +233,8 @@
     const auto known = std::count_if(customers_.begin(), customers_.end(), [now](const auto& e) {
       return e.second.read_at > 0 && now - e.second.read_at < 2 * kPeriod;
     });
-    const Calls c = std::exchange(told_, {});
-    return join("customers ", customers_.size(), " (total of late ", known, "), calls ok ", c.ok,
-                " not added ", c.not_added, " late ", c.late, " lost ", c.lost, ", pace ", int(call_rate_));
+    return join("customers ", customers_.size(), " (total of late ", known, "), ",
+                std::exchange(told_, {}).text(), ", pace ", int(call_rate_));
   }
 
   // While this gateway is several processes, each is one of a customer's set that is so many times larger.
@@ -270,17 +270,15 @@
 
   // The counter answered or failed to. Returns the customer it was about.
   Customer* answered(Micros now, const CounterAnswered& a) {
-    auto found = pending_.find(a.name);
-    if (found == pending_.end()) return nullptr;
-    const auto [who, amount] = found->second;
-    pending_.erase(found);
-    const bool ok = a.outcome == CountOutcome::kOk;
-    auto it = customers_.find(who);
+    const auto call = pending_.extract(a.name);
+    if (call.empty()) return nullptr;
+    const auto [who, amount] = call.mapped();
+    const auto it = customers_.find(who);
     if (it == customers_.end()) return nullptr;
     Customer& c = it->second;
     --c.calling;
     if (a.outcome == CountOutcome::kNotAdded) c.uncounted += amount;
-    if (!ok) return &c;
+    if (a.outcome != CountOutcome::kOk) return &c;
     c.added += amount;
     double dt = double(now - c.seen_at) / kSecond;
     const double all = a.total - c.seen;
@@ -326,7 +324,7 @@
     crowd_ *= fade(now - std::exchange(crowd_at_, now), kCrowdMemory);
     const bool ok = a.outcome == CountOutcome::kOk, unknown = a.outcome == CountOutcome::kUnknown;
     const bool back = ok && silent(), slow = 2 * a.duration > settings_.counter_timeout;
-    ++(ok ? told_.ok : !unknown ? told_.not_added : slow ? told_.late : told_.lost);
+    told_.add(a.outcome, slow);
     if (in_a_row_ == 0) good_rate_ = call_rate_;
     // Danger: calls on a connection that went silent come late one and all, whatever the line at the counter.
     if (back) call_rate_ = std::max(call_rate_, kPaceBack * good_rate_);
@@ -360,9 +358,7 @@
   double good_rate_ = first_calls();  // before the calls that fail in a row now
   double crowd_ = 0;                  // part of the calls that failed or took long; fading mean
   Micros calls_at_ = 0, crowd_at_ = 0;
-  struct Calls {
-    int ok = 0, not_added = 0, late = 0, lost = 0;
-  } told_;
+  CounterCalls told_;           // since last told
   double could_ = 0, had_ = 0;  // units: what whole quotas would have come to, and what first totals were
   Micros born_ = 0;
   int processes_ = 1;
--- /dev/null
+++ b/src/support/report.hpp
@@ -0,0 +1,38 @@
+// What the log tells of a bad day: counts since last told, and their text. Decides nothing.
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "cottonroad/gateway.hpp"
+#include "support/numbers.hpp"
+
+namespace cottonroad {
+
+// Requests that were refused, by reason.
+struct Refusals {
+  int asked = 0, slice = 0, blind = 0, within = 0, ceiling = 0, sliced = 0, servers = 0;
+
+  bool any() const { return slice + ceiling + servers > 0; }
+  std::string text() const {
+    return join("slice ", slice, " (no total ", blind, ", demand within quota ", within, "), ceiling ",
+                ceiling, " (slice had it ", sliced, "), servers ", servers, " of ", asked, "; ");
+  }
+};
+
+// How the calls to the counter went.
+struct CounterCalls {
+  int ok = 0, not_added = 0, late = 0, lost = 0;
+
+  void add(CountOutcome outcome, bool slow) {
+    ++(outcome == CountOutcome::kOk        ? ok
+       : outcome != CountOutcome::kUnknown ? not_added
+       : slow                              ? late
+                                           : lost);
+  }
+  std::string text() const {
+    return join("calls ok ", ok, " not added ", not_added, " late ", late, " lost ", lost);
+  }
+};
+
+}  // namespace cottonroad
