--- /dev/null
+++ b/tests/scale/report_test.cpp
@@ -0,0 +1,113 @@
+// Figures as JSON lines and as a table, and the lines fitted through them.
+#include "report.hpp"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace cottonroad::scale {
+namespace {
+
+using nlohmann::json;
+
+Figure figure(double servers, double value, double gateways = 300) {
+  return {"module.list", "list", {{"servers", servers}, {"gateways", gateways}}, value, "ms"};
+}
+
+std::vector<json> parsed(const std::string& text) {
+  std::vector<json> out;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) out.push_back(json::parse(line));
+  return out;
+}
+
+TEST(Fit, FindsAnExactLineAndItsValueAtTheTarget) {
+  const Fit fit = fit_line({{200, 7}, {2'000, 43}, {20'000, 403}}, 170'000);
+  EXPECT_NEAR(fit.fixed, 3, 1e-9);
+  EXPECT_NEAR(fit.each, 0.02, 1e-12);
+  EXPECT_NEAR(fit.value, 3'403, 1e-6);
+  EXPECT_DOUBLE_EQ(fit.extrapolated, 8.5);
+  EXPECT_NEAR(fit.deviation, 0, 1e-9);
+  EXPECT_EQ(fit.points, 3u);
+}
+
+TEST(Fit, NamesThePointThatDeviatesMostWithItsSign) {
+  // By hand: means 2 and 3, slope (1 + 0 + 3) / 2; the middle point lies 2 under that line.
+  const Fit fit = fit_line({{1, 2}, {2, 1}, {3, 6}}, 3);
+  EXPECT_NEAR(fit.each, 2, 1e-9);
+  EXPECT_NEAR(fit.fixed, -1, 1e-9);
+  EXPECT_NEAR(fit.deviation, -2, 1e-9);
+  EXPECT_DOUBLE_EQ(fit.deviation_at, 2);
+  EXPECT_NEAR(fit.deviation_share, -2, 1e-9);
+  EXPECT_DOUBLE_EQ(fit.extrapolated, 1);
+}
+
+TEST(Fit, OnePointOrNoneIsNoSlope) {
+  EXPECT_DOUBLE_EQ(fit_line({{5, 7}}, 10).value, 7);
+  EXPECT_DOUBLE_EQ(fit_line({{5, 7}, {5, 9}}, 10).each, 0);
+  EXPECT_DOUBLE_EQ(fit_line({}, 10).value, 0);
+}
+
+TEST(Report, EachFigureIsAJsonLineAtOnceWithTheSeed) {
+  std::ostringstream lines;
+  Report report(&lines, 42);
+  report.add(figure(200, 1.5));
+  const auto out = parsed(lines.str());
+  ASSERT_EQ(out.size(), 1u);
+  EXPECT_EQ(out[0], json::parse(R"({"scenario":"module.list","name":"list","seed":42,"value":1.5,"unit":"ms",
+                                    "at":{"servers":200.0,"gateways":300.0}})"));
+}
+
+TEST(Report, FitsOneLineForEachOfTheOtherSizes) {
+  std::ostringstream lines;
+  Report report(&lines);
+  for (double n : {200, 2'000, 20'000}) {
+    report.add(figure(n, n, 300));
+    report.add(figure(n, 2 * n, 7'400));
+  }
+  report.add({"module.list", "other", {{"servers", 9}}, 1e9, "ms"});
+  report.add({"another", "list", {{"servers", 9}}, 1e9, "ms"});
+  report.fit("module.list", "list", "servers", 170'000);
+  ASSERT_EQ(report.fits().size(), 2u);
+  EXPECT_NEAR(report.fits()[0].value, 170'000, 1e-3);
+  EXPECT_NEAR(report.fits()[1].value, 340'000, 1e-3);
+  EXPECT_DOUBLE_EQ(report.fits()[1].at.at("gateways"), 7'400);
+  const auto out = parsed(lines.str());
+  ASSERT_EQ(out.size(), 10u);
+  EXPECT_EQ(out[9]["fit"], "list");
+  EXPECT_EQ(out[9]["by"], "servers");
+  EXPECT_EQ(out[9]["points"], 3);
+  EXPECT_DOUBLE_EQ(out[9]["extrapolated"].get<double>(), 8.5);
+}
+
+TEST(Report, AFitOfNothingIsSaidSo) {
+  std::ostringstream lines;
+  Report report(&lines);
+  report.fit("module.list", "list", "servers", 170'000);
+  EXPECT_TRUE(report.fits().empty());
+  EXPECT_NE(lines.str().find("no figures to fit"), std::string::npos);
+}
+
+TEST(Report, TheTableIsAlignedAndHoldsFiguresFitsAndNotes) {
+  Report report(nullptr);
+  report.add(figure(200, 1.5));
+  report.add(figure(20'000, 150));
+  report.fit("module.list", "list", "servers", 170'000);
+  report.note("module.list", "a deviation that was seen");
+  std::ostringstream table;
+  report.table(table);
+  std::istringstream in(table.str());
+  std::string head, first, second;
+  std::getline(in, head);
+  std::getline(in, first);
+  std::getline(in, second);
+  EXPECT_EQ(head.find(" at ") + 1, first.find("gateways 300"));
+  EXPECT_EQ(first.size(), second.size());
+  EXPECT_NE(second.find("servers 20000"), std::string::npos);
+  EXPECT_NE(table.str().find("8.5x"), std::string::npos);
+  EXPECT_NE(table.str().find("module.list: a deviation that was seen\n"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace cottonroad::scale
