--- /dev/null
+++ b/scale/hollow.cpp
@@ -0,0 +1,457 @@
+#include "hollow.hpp"
+
+#include <malloc.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <iostream>
+#include <limits>
+#include <random>
+#include <stdexcept>
+#include <thread>
+#include <unordered_map>
+
+#include "counter.hpp"
+#include "timers.hpp"
+
+namespace cottonroad::scale {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr Micros kTellWithin = 500'000;  // us for the agent to answer; then the list that is known must do
+constexpr Micros kPatience = 4'000'000;  // us of a client
+constexpr double kSkew = 3;              // assumed: of u^skew x tenants, u even, whose request it is
+constexpr std::size_t kSpareDescriptors = 200;
+
+// The number in an id that server_id() made.
+std::size_t server_number(const std::string& id) {
+  std::size_t number = 0;
+  std::from_chars(id.data() + 2, id.data() + id.size(), number, 16);
+  return number;
+}
+
+}  // namespace
+
+// ---- One gateway --------------------------------------------------------------------------------------
+// Stands where net::Driver does: hands events over in batches and carries out the actions.
+class HollowGateway {
+ public:
+  HollowGateway(asio::io_context& io, const FleetOptions& options, std::size_t position)
+      : io_(io),
+        options_(options),
+        position_(position),
+        random_(options.seed * 1'000'003 + position),
+        timers_(io, clock_),
+        gateway_(settings(options, position), random_()),
+        known_(options.known),
+        up_(options.servers),
+        started_(steady_now()),
+        discovery_(
+            io, timers_, clock_, options.agents.at(position % options.agents.size()),
+            known_ ? known_->revision : 0,
+            [this](const net::MemberList& list) {
+              told(list,
+                   list.complete ? ServerListUpdate::Kind::kComplete : ServerListUpdate::Kind::kPartial);
+            },
+            random_(), 0, [this] { believe_known(); }) {
+    if (options.counter) {
+      counter_ = std::make_shared<net::Counter>(io, timers_, clock_, *options.counter,
+                                                options.settings.counter_timeout, 250'000,
+                                                [this](CounterAnswered a) { answered(std::move(a)); });
+      counter_->start();
+    }
+    discovery_.start();
+    timers_.after(kTellWithin, [this] { believe_known(); });
+    load(options.requests_per_s);
+  }
+
+  void load(double requests_per_s) {
+    rate_ = requests_per_s;
+    const int life = ++load_;
+    if (rate_ > 0) next_arrival(life);
+  }
+
+  void expect(std::shared_ptr<const std::vector<bool>> up) {
+    expected_ = std::move(up);
+    look_right();
+  }
+
+  void add_to(FleetState& s) const {
+    s.with_list += listed_ > 0;
+    s.right += right_at_ > 0;
+    s.were_without += was_without_;
+    s.least_revision = std::min(s.least_revision, revision_);
+    s.longest_first_list = std::max(s.longest_first_list, first_list_);
+    s.last_right_at = std::max(s.last_right_at, right_at_);
+    s.requests += sums_.requests;
+    s.attempts += sums_.attempts;
+    s.served += sums_.served;
+    s.refused += sums_.refused;
+    s.failed += sums_.failed;
+    s.calls += sums_.calls;
+    s.calls_not_added += sums_.calls_not_added;
+    s.calls_unknown += sums_.calls_unknown;
+    s.lists += sums_.lists;
+    s.changes += sums_.changes;
+    s.module_cpu += sums_.module_cpu;
+  }
+  std::int64_t revision() const { return revision_; }
+  Micros in_force_at() const { return in_force_at_; }
+
+ private:
+  struct Open {
+    int attempts = 0;
+    Micros deadline = 0;
+  };
+
+  static Settings settings(const FleetOptions& options, std::size_t position) {
+    Settings s = options.settings;
+    s.gateways = int(options.gateways);
+    s.position = int(position);
+    s.has_counter = options.counter.has_value();
+    return s;
+  }
+
+  // ---- the list
+  void believe_known() {
+    if (!known_) return;
+    const auto known = std::exchange(known_, nullptr);
+    told(*known, ServerListUpdate::Kind::kPersisted);
+  }
+
+  void told(const net::MemberList& list, ServerListUpdate::Kind kind) {
+    ServerListUpdate update;
+    update.kind = kind;
+    for (const net::Member& m : list.members) update.entries.push_back(m.entry);
+    told_revision_ = list.revision;
+    if (list.complete) up_.assign(up_.size(), false), listed_ = 0;
+    for (const ServerEntry& e : update.entries) {
+      const std::size_t number = server_number(e.server);
+      if (number >= up_.size()) up_.resize(number + 1);
+      const bool up = e.state == ServerState::kUp;
+      listed_ += std::size_t(up) - std::size_t(up_[number]);
+      up_[number] = up;
+    }
+    ++(list.complete ? sums_.lists : sums_.changes);
+    push(std::move(update));
+  }
+
+  // Once the module has it.
+  void in_force() {
+    if (told_revision_ == revision_) return;
+    revision_ = told_revision_;
+    in_force_at_ = steady_now();
+    if (listed_ > 0 && first_list_ == 0) first_list_ = std::max<Micros>(1, in_force_at_ - started_);
+    if (listed_ == 0 && first_list_ > 0) was_without_ = true;
+    look_right();
+  }
+
+  void look_right() {
+    if (!expected_) return;
+    const bool right =
+        revision_ > 0 && std::equal(expected_->begin(), expected_->end(), up_.begin(), up_.end());
+    if (!right) right_at_ = 0;
+    if (right && right_at_ == 0) right_at_ = steady_now();
+  }
+
+  // ---- requests
+  void next_arrival(int life) {
+    const double wait = std::exponential_distribution<>(rate_)(random_);
+    timers_.after(Micros(wait * 1e6), [this, life] {
+      if (life != load_) return;
+      arrive();
+      next_arrival(life);
+    });
+  }
+
+  void arrive() {
+    const int spread = std::max(1, std::min(options_.spread, int(options_.gateways)));
+    const std::size_t set = position_ / std::size_t(spread);
+    const double u = std::uniform_real_distribution<>(0, 1)(random_);
+    const auto tenant = std::size_t(std::pow(u, kSkew) * double(std::max<std::size_t>(1, options_.tenants)));
+    char name[20];
+    std::snprintf(name, sizeof name, "%016zx", set * options_.tenants + tenant);
+    RequestArrived r;
+    r.id = std::to_string(++last_);
+    r.customer = name;
+    r.plan = options_.settings.plans.at(tenant % options_.settings.plans.size()).name;
+    r.request_class = options_.settings.classes.at(last_ % options_.settings.classes.size()).name;
+    r.deadline = clock_.now() + kPatience;
+    r.set_size = spread;
+    r.first_gateway = int(set * std::size_t(spread));
+    open_[r.id].deadline = r.deadline;
+    ++sums_.requests;
+    push(std::move(r));
+  }
+
+  void end_attempt(const std::string& id, int attempt, const std::string& server, Outcome outcome,
+                   Micros took) {
+    const auto it = open_.find(id);
+    if (it == open_.end()) return;
+    AttemptEnded e;
+    e.id = id;
+    e.attempt = attempt;
+    e.server = server;
+    e.outcome = outcome;
+    e.duration = took;
+    e.finished = outcome == Outcome::kOk;
+    if (e.finished) ++sums_.served, open_.erase(it);
+    push(std::move(e));
+  }
+
+  // ---- the module
+  void push(Event event) {
+    events_.push_back(std::move(event));
+    if (std::exchange(flushing_, true)) return;
+    asio::post(io_, [this] { flush(); });
+  }
+
+  void flush() {
+    flushing_ = false;
+    std::vector<Event> events;
+    std::vector<Action> actions;
+    events.swap(events_);
+    const Micros before = thread_cpu();
+    gateway_.handle(clock_.now(), events, actions);
+    sums_.module_cpu += thread_cpu() - before;
+    in_force();
+    for (const Action& action : actions) std::visit([this](const auto& a) { act(a); }, action);
+  }
+
+  void act(const SendAttempt& a) {
+    const auto it = open_.find(a.id);
+    if (it == open_.end()) return;
+    ++sums_.attempts;
+    const int attempt = it->second.attempts++;
+    timers_.after(options_.service, [this, id = a.id, attempt, server = a.server] {
+      end_attempt(id, attempt, server, Outcome::kOk, options_.service);
+    });
+  }
+  void act(const CancelAttempt& a) {
+    asio::post(io_, [this, a] { end_attempt(a.id, a.attempt, "", Outcome::kCancelled, 0); });
+  }
+  void act(const Refuse& a) { sums_.refused += open_.erase(a.id); }
+  void act(const Fail& a) { sums_.failed += open_.erase(a.id); }
+  void act(const SetTimer& a) {
+    timers_.at(a.at, [this, token = a.token] { push(TimerFired{token}); });
+  }
+  void act(const SendProbe&) {}
+  void act(const AddToCounter& a) {
+    ++sums_.calls;
+    if (counter_) return counter_->add(a);
+    push(CounterAnswered{a.name, 0, CountOutcome::kNotAdded, 0});
+  }
+  void act(const LogLine&) {}
+
+  void answered(CounterAnswered a) {
+    sums_.calls_not_added += a.outcome == CountOutcome::kNotAdded;
+    sums_.calls_unknown += a.outcome == CountOutcome::kUnknown;
+    push(std::move(a));
+  }
+
+  asio::io_context& io_;
+  const FleetOptions& options_;
+  const std::size_t position_;
+  std::mt19937_64 random_;
+  net::Clock clock_;
+  net::Timers timers_;
+  Gateway gateway_;
+  std::shared_ptr<const net::MemberList> known_;
+  std::vector<bool> up_;  // by number
+  std::size_t listed_ = 0;
+  std::shared_ptr<const std::vector<bool>> expected_;
+  const Micros started_;
+  Micros first_list_ = 0, right_at_ = 0, in_force_at_ = 0;
+  bool was_without_ = false;
+  std::int64_t told_revision_ = 0, revision_ = 0;
+  double rate_ = 0;
+  int load_ = 0;
+  std::uint64_t last_ = 0;
+  std::unordered_map<std::string, Open> open_;
+  std::vector<Event> events_;
+  bool flushing_ = false;
+  FleetState sums_;  // those that are sums
+  std::shared_ptr<net::Counter> counter_;
+  net::Discovery discovery_;
+};
+
+// ---- Groups -------------------------------------------------------------------------------------------
+HollowGroup::HollowGroup(asio::io_context& io, const FleetOptions& options, std::size_t first,
+                         std::size_t count) {
+  for (std::size_t i = 0; i < count; ++i)
+    gateways_.push_back(std::make_unique<HollowGateway>(io, options, first + i));
+}
+HollowGroup::~HollowGroup() = default;
+
+void HollowGroup::add_to(FleetState& state) const {
+  for (const auto& g : gateways_) g->add_to(state);
+}
+void HollowGroup::load(double requests_per_s) {
+  for (const auto& g : gateways_) g->load(requests_per_s);
+}
+void HollowGroup::expect(std::shared_ptr<const std::vector<bool>> up) {
+  for (const auto& g : gateways_) g->expect(up);
+}
+void HollowGroup::add_delays(std::int64_t revision, Micros since, std::vector<double>& to) const {
+  for (const auto& g : gateways_)
+    if (g->revision() >= revision) to.push_back(double(g->in_force_at() - since));
+}
+
+// ---- Fleet --------------------------------------------------------------------------------------------
+Settings FleetOptions::fleet_settings() {
+  Settings s;
+  s.zone = "a";
+  s.max_attempts = 3;
+  s.may_cancel = s.may_advise = true;
+  s.max_retry_after = 2'000'000;
+  s.drain_grace = 250'000;
+  ClassSettings read, write;
+  read.name = "read";
+  read.repeat = Repeat::kSafe;
+  write.name = "write";
+  s.classes = {read, write};
+  PlanSettings small, large;
+  small.name = "small";
+  small.rate = 20;
+  small.burst = 40;
+  large.name = "large";
+  large.rate = 400;
+  large.burst = 800;
+  s.plans = {small, large};
+  return s;
+}
+
+std::size_t descriptors_of(const FleetOptions& options) {
+  const std::size_t connections = options.gateways * (options.counter ? 2 : 1);
+  return 2 * connections + 3 * options.groups + kSpareDescriptors;
+}
+
+Fleet::Fleet(FleetOptions options) : options_(std::move(options)) {
+  const std::size_t allowed = raise_descriptor_limit(), needed = descriptors_of(options_);
+  if (needed > allowed)
+    throw std::runtime_error(std::to_string(options_.gateways) + " gateways need " + std::to_string(needed) +
+                             " descriptors, " + std::to_string(allowed) + " are allowed");
+  const std::size_t groups = std::clamp<std::size_t>(options_.groups, 1, options_.gateways);
+  machines_.resize(groups);
+  for (std::size_t i = 0; i < groups; ++i) {
+    machines_[i].first = options_.gateways * i / groups;
+    machines_[i].count = options_.gateways * (i + 1) / groups - machines_[i].first;
+    begin(machines_[i]);
+  }
+}
+
+Fleet::~Fleet() = default;
+
+void Fleet::begin(Group& group) {
+  group.machine = std::make_unique<Machine>();
+  group.gateways = &group.machine->host<HollowGroup>(options_, group.first, group.count);
+  if (expected_) group.machine->run([&] { group.gateways->expect(expected_); });
+}
+
+// Danger: the clients can't be ended one by one, their handlers hold on to them; so a loop ends with all that
+// is on it, as a process does.
+void Fleet::restart(std::size_t group) {
+  Group& g = machines_.at(group);
+  g.machine->run([&] { g.gateways->add_to(ended_); });
+  ended_.cpu += g.machine->cpu();
+  g.machine.reset();
+  begin(g);
+}
+
+void Fleet::load(double requests_per_s) {
+  options_.requests_per_s = requests_per_s;
+  for (Group& g : machines_) g.machine->run([&] { g.gateways->load(requests_per_s); });
+}
+
+void Fleet::expect(const std::vector<ListedServer>& servers) {
+  auto up = std::make_shared<std::vector<bool>>(std::max(options_.servers, servers.size()));
+  for (const ListedServer& s : servers) {
+    const std::size_t number = server_number(s.id);
+    if (number >= up->size()) up->resize(number + 1);
+    (*up)[number] = s.phase == Phase::kUp;
+  }
+  expected_ = std::move(up);
+  for (Group& g : machines_) g.machine->run([&] { g.gateways->expect(expected_); });
+}
+
+FleetState Fleet::state() const {
+  FleetState s = ended_;
+  // Those that ended know nothing any more; whether one of them was without a list still counts.
+  s.with_list = s.right = 0;
+  s.last_right_at = 0;
+  s.least_revision = std::numeric_limits<std::int64_t>::max();
+  for (const Group& g : machines_) {
+    g.machine->run([&] { g.gateways->add_to(s); });
+    s.cpu += g.machine->cpu();
+  }
+  return s;
+}
+
+bool Fleet::wait(const std::function<bool(const FleetState&)>& holds, Micros bound) const {
+  const Micros end = steady_now() + bound;
+  while (!holds(state())) {
+    if (steady_now() > end) return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+std::vector<double> Fleet::delays(std::int64_t revision, Micros since) const {
+  std::vector<double> out;
+  for (const Group& g : machines_) g.machine->run([&] { g.gateways->add_delays(revision, since, out); });
+  return out;
+}
+
+// ---- What it takes ------------------------------------------------------------------------------------
+std::uint64_t allocated_bytes() {
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+std::uint64_t resident_bytes() {
+  std::ifstream file("/proc/self/statm");
+  std::uint64_t size = 0, resident = 0;
+  file >> size >> resident;
+  return resident * std::uint64_t(sysconf(_SC_PAGESIZE));
+}
+
+CountedLog::CountedLog() : was_(std::cerr.rdbuf(this)) {}
+CountedLog::~CountedLog() { std::cerr.rdbuf(was_); }
+int CountedLog::overflow(int c) {
+  lines_ += c == '\n';
+  return 0;
+}
+std::streamsize CountedLog::xsputn(const char* text, std::streamsize size) {
+  lines_ += std::uint64_t(std::count(text, text + size, '\n'));
+  return size;
+}
+
+std::shared_ptr<const net::MemberList> known_list(const std::vector<ListedServer>& servers,
+                                                  std::int64_t revision) {
+  auto list = std::make_shared<net::MemberList>();
+  list->revision = revision;
+  list->complete = true;
+  for (const ListedServer& s : servers) {
+    if (s.phase == Phase::kRemoved) continue;
+    net::Member m;
+    m.entry.server = s.id;
+    m.entry.zone = s.locality;
+    m.entry.kind = s.flavor;
+    m.entry.cell = s.cell;
+    m.entry.state = s.phase == Phase::kUp ? ServerState::kUp : ServerState::kDraining;
+    m.entry.weight = s.size;
+    m.entry.started_at = s.up_since_ms * 1000;
+    m.address = net::parse_endpoint(s.host_port);
+    list->members.push_back(std::move(m));
+  }
+  return list;
+}
+
+}  // namespace cottonroad::scale
--- a/scale/standins.hpp
+++ b/scale/standins.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <array>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -46,7 +47,7 @@
   boost::asio::io_context& io() { return io_; }
   // Runs `what` on the loop, waits for it and hands back what it returns or throws. Not from the loop itself.
   template <typename What>
-  auto run(What what) {
+  decltype(auto) run(What what) {
     std::packaged_task<decltype(what())()> task(std::move(what));
     auto result = task.get_future();
     boost::asio::post(io_, [&task] { task(); });
@@ -85,6 +86,9 @@
   std::int64_t up_since_ms = 0;  // Unix time; 0: long ago
 };
 
+class Link;
+using Links = std::vector<std::shared_ptr<Link>>;  // connections that are up
+
 // Discovery as a gateway meets it: GET /catalog/members, whole or as a watch. Watchers share one encoded
 // buffer of each change and of each whole list.
 class DiscoveryAgent {
@@ -116,7 +120,7 @@
   boost::asio::ip::tcp::endpoint address() const { return address_; }
   std::string text() const;  // host:port
   std::int64_t revision() const { return revision_; }
-  // The list in force; `removed` ones are not in it.
+  // All that it ever told of, in a lasting order; those whose phase is `removed` are not listed.
   const std::vector<ListedServer>& servers() const { return servers_; }
 
   // Takes the entries as one change with a revision of its own, tells all watchers, returns the revision.
@@ -145,13 +149,15 @@
     std::vector<std::uint32_t> changed;  // indices
   };
   void accept();
-  void asked(const std::shared_ptr<Connection>& by, std::string_view target);
-  void watch(const std::shared_ptr<Connection>& by, std::int64_t after);
-  void beat();
-  void tell(const Buffer& buffer);
-  Buffer whole();
+  void asked(const std::shared_ptr<Connection>& by, const std::string& target);
+  // Brings a watcher that has `after` (below 0: nothing) up to the present revision.
+  void update(Connection& watcher, std::int64_t after);
+  void send_whole(Connection& watcher);
   Buffer difference(std::int64_t after);
-  bool knows(std::int64_t after) const;
+  bool few_since(std::int64_t after, std::size_t most) const;
+  void beat();
+  template <typename What>
+  void each_watcher(What what);
 
   boost::asio::io_context& io_;
   const Options options_;
@@ -160,11 +166,11 @@
   boost::asio::steady_timer timer_;
   std::vector<ListedServer> servers_;
   std::unordered_map<std::string, std::uint32_t> index_;
-  std::vector<std::shared_ptr<Connection>> connections_;
+  Links links_;
   std::deque<Past> history_;
   std::size_t history_entries_ = 0;
   std::int64_t revision_, oldest_;  // differences are known from `oldest_` on
-  Buffer whole_, beat_;
+  Buffer whole_, heartbeat_;
   std::int64_t whole_at_ = -1;
   std::map<std::int64_t, Buffer> differences_;  // by `after`, up to the present revision
   bool silent_ = false, running_ = false;
@@ -228,7 +234,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer sweep_;
   std::vector<std::unique_ptr<Part>> parts_;
-  std::vector<std::weak_ptr<Connection>> connections_;
+  Links links_;
   std::unordered_map<std::string, Total> totals_;
   std::array<std::vector<std::string>, 62> dying_;  // names by the second in which they may be forgotten
   std::int64_t swept_ = 0;                          // s
