--- a/scale/day.hpp
+++ b/scale/day.hpp
@@ -76,7 +76,7 @@
   double hours = 24;       // that are drawn
   double compression = 1;  // so many times faster goes the bench's clock
   double share = 0;        // of the target's rates; 0: the layout's servers over the target's
-  Target target;
+  Target target = {};
 };
 
 // Sorted by time; those of one moment belong to one change of the list. Each server's own changes make sense
--- a/scale/standins.cpp
+++ b/scale/standins.cpp
@@ -178,7 +178,8 @@
     error_code ignored;
     socket_.close(ignored);
     ended();
-    const auto self = std::exchange(links_.at(place_), links_.back());
+    const auto self = shared_from_this();
+    links_.at(place_) = links_.back();
     links_.at(place_)->place_ = place_;
     links_.pop_back();
   }
--- a/scale/standins.hpp
+++ b/scale/standins.hpp
@@ -94,7 +94,7 @@
 class DiscoveryAgent {
  public:
   struct Options {
-    std::vector<ListedServer> servers;
+    std::vector<ListedServer> servers = {};
     std::int64_t revision = 1;
     std::size_t history = 100'000;        // changed entries back to which it can tell differences
     Micros heartbeat = 2'000'000;         // us between empty lines on a watch that is told nothing else
--- /dev/null
+++ b/tests/scale/world_test.cpp
@@ -0,0 +1,408 @@
+// The world of the scale tests: stand-ins against the real clients, the day that is drawn, a small fleet.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <cmath>
+#include <set>
+
+#include "counter.hpp"
+#include "day.hpp"
+#include "discovery.hpp"
+#include "hollow.hpp"
+#include "standins.hpp"
+
+namespace cottonroad::scale {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Runs the loop until `done`, or gives up after a time that no healthy run comes near.
+bool until(asio::io_context& io, const std::function<bool()>& done) {
+  const Micros end = steady_now() + 20'000'000;
+  while (!done()) {
+    if (steady_now() > end) return false;
+    io.restart();
+    io.run_one_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+std::vector<ListedServer> some_servers(std::size_t count) {
+  const Layout layout{count, 0, 7, 3};
+  return list_of(layout, [](std::size_t i) { return "127.0.0.1:" + std::to_string(1000 + i); });
+}
+ListedServer changed(const ListedServer& from, Phase phase) {
+  ListedServer out = from;
+  out.phase = phase;
+  return out;
+}
+
+// ---- The agent ----------------------------------------------------------------------------------------
+class AgentTest : public ::testing::Test {
+ protected:
+  void make(DiscoveryAgent::Options options = {}) {
+    if (options.servers.empty()) options.servers = some_servers(50);
+    options.revision = 41;
+    agent.emplace(io, options);
+  }
+  void watch(std::int64_t after) {
+    clients.push_back(std::make_unique<net::Discovery>(
+        io, timers, clock, agent->address(), after, [this](const net::MemberList& l) { told.push_back(l); }));
+    clients.back()->start();
+  }
+  bool comes(std::size_t lists) {
+    return until(io, [&] { return told.size() >= lists; });
+  }
+  asio::io_context io;
+  net::Clock clock;
+  net::Timers timers{io, clock};
+  std::optional<DiscoveryAgent> agent;
+  std::vector<std::unique_ptr<net::Discovery>> clients;  // their handlers hold on to them
+  std::vector<net::MemberList> told;
+};
+
+TEST_F(AgentTest, TellsTheWholeListWhereItKnowsNoDifferenceAndThenChanges) {
+  make();
+  watch(0);
+  ASSERT_TRUE(comes(1));
+  EXPECT_TRUE(told[0].complete);
+  EXPECT_EQ(told[0].revision, 41);
+  ASSERT_EQ(told[0].members.size(), 50u);
+  EXPECT_EQ(told[0].members[9].entry.server, server_id(9));
+  EXPECT_EQ(told[0].members[9].entry.zone, "c");
+  EXPECT_EQ(told[0].members[9].address.port(), 1009);
+  agent->change({changed(agent->servers()[3], Phase::kDraining)});
+  agent->change({changed(agent->servers()[3], Phase::kRemoved), changed(agent->servers()[4], Phase::kUp)});
+  ASSERT_TRUE(comes(3));
+  EXPECT_FALSE(told[1].complete);
+  EXPECT_EQ(told[1].revision, 42);
+  EXPECT_EQ(told[1].members.at(0).entry.state, ServerState::kDraining);
+  EXPECT_EQ(told[2].members.size(), 2u);
+  EXPECT_EQ(told[2].members[0].entry.state, ServerState::kRemoved);
+  EXPECT_EQ(agent->counts().changes, 2u);
+  EXPECT_EQ(agent->counts().lists, 1u);
+}
+
+TEST_F(AgentTest, TellsWhatChangedSinceAsOneObjectWhileHistoryHolds) {
+  make({.history = 3});
+  const auto servers = agent->servers();
+  agent->change({changed(servers[1], Phase::kDraining)});
+  agent->change({changed(servers[1], Phase::kRemoved), changed(servers[2], Phase::kDraining)});
+  watch(41);
+  ASSERT_TRUE(comes(1));
+  EXPECT_FALSE(told[0].complete);
+  EXPECT_EQ(told[0].revision, 43);
+  ASSERT_EQ(told[0].members.size(), 2u);  // each server once, as it is now
+  EXPECT_EQ(told[0].members[0].entry.state, ServerState::kRemoved);
+  agent->change({changed(servers[5], Phase::kDraining)});  // a fourth entry: the oldest difference is lost
+  ASSERT_TRUE(comes(2));
+  told.clear();
+  watch(41);
+  ASSERT_TRUE(comes(1));
+  EXPECT_TRUE(told[0].complete);
+  EXPECT_EQ(told[0].members.size(), 49u);
+}
+
+TEST_F(AgentTest, AWholeListThatWasEncodedBeforeComesWithWhatChangedSince) {
+  make();
+  watch(0);
+  ASSERT_TRUE(comes(1));
+  agent->change({changed(agent->servers()[7], Phase::kDraining)});
+  ASSERT_TRUE(comes(2));
+  told.clear();
+  watch(0);
+  ASSERT_TRUE(comes(2));
+  EXPECT_EQ(told[0].revision, 41);
+  EXPECT_TRUE(told[0].complete);
+  EXPECT_EQ(told[1].revision, 42);
+  EXPECT_EQ(told[1].members.at(0).entry.state, ServerState::kDraining);
+}
+
+TEST_F(AgentTest, SilentItSaysNothingAndThenWhatWasMissed) {
+  make();
+  watch(41);
+  ASSERT_TRUE(until(io, [&] { return agent->counts().watchers == 1; }));
+  const auto asks = agent->counts().asks;
+  agent->set_silent(true);
+  agent->change({changed(agent->servers()[7], Phase::kDraining)});
+  // The client finds it silent and tries anew; nothing is told all the while.
+  ASSERT_TRUE(until(io, [&] { return agent->counts().connections >= 3; }));
+  EXPECT_TRUE(told.empty());
+  EXPECT_EQ(agent->counts().asks, asks);
+  agent->set_silent(false);
+  ASSERT_TRUE(comes(1));
+  EXPECT_EQ(told[0].revision, 42);
+  EXPECT_FALSE(told[0].complete);
+}
+
+TEST_F(AgentTest, TurnsAwayBreaksOffStopsAndIsBack) {
+  make();
+  agent->turn_away(503, 1);
+  watch(41);
+  ASSERT_TRUE(until(io, [&] { return agent->counts().turned_away >= 2; }));
+  agent->turn_away(0);
+  ASSERT_TRUE(until(io, [&] { return agent->counts().watchers == 1; }));
+  agent->break_off();
+  EXPECT_EQ(agent->counts().watchers, 0u);
+  ASSERT_TRUE(until(io, [&] { return agent->counts().watchers == 1; }));
+  const auto address = agent->address();
+  agent->stop();
+  agent->change({changed(agent->servers()[7], Phase::kDraining)});
+  agent->forget_history();
+  agent->start();
+  EXPECT_EQ(agent->address(), address);
+  ASSERT_TRUE(comes(1));
+  EXPECT_TRUE(told[0].complete);  // its history is lost, and the client's revision an old one
+}
+
+TEST_F(AgentTest, HeartbeatsKeepAWatchUp) {
+  make({.heartbeat = 100'000});
+  watch(41);
+  ASSERT_TRUE(until(io, [&] { return agent->counts().heartbeats >= 20; }));
+  EXPECT_EQ(agent->counts().connections, 1u);
+}
+
+TEST_F(AgentTest, WithoutAWatchTheListIsTheWholeAnswer) {
+  make();
+  const auto address = agent->address();
+  tcp::socket socket(io);
+  socket.connect(address);
+  asio::write(socket, asio::buffer(std::string("GET /catalog/members HTTP/1.1\r\nHost: x\r\n\r\n")));
+  std::string answer;
+  bool done = false;
+  asio::async_read_until(socket, asio::dynamic_buffer(answer), "]}\n", [&](auto, auto) { done = true; });
+  ASSERT_TRUE(until(io, [&] { return done; }));
+  const auto list = net::parse_members(nlohmann::json::parse(answer.substr(answer.find("\r\n\r\n") + 4)));
+  EXPECT_EQ(list.members.size(), 50u);
+  EXPECT_TRUE(list.complete);
+}
+
+// ---- The counter --------------------------------------------------------------------------------------
+class CounterServerTest : public ::testing::Test {
+ protected:
+  void make(CounterServer::Options options) {
+    server.emplace(io, options);
+    client = std::make_shared<net::Counter>(io, timers, clock, server->address(), 5'000'000, 250'000,
+                                            [this](CounterAnswered a) { answers.push_back(a); });
+    client->start();
+  }
+  CounterAnswered add(std::int64_t name, double amount, Micros life = 4'000'000) {
+    const auto want = answers.size() + 1;
+    client->add({name, amount, life});
+    EXPECT_TRUE(until(io, [&] { return answers.size() >= want; }));
+    return answers.empty() ? CounterAnswered{} : answers.back();
+  }
+  asio::io_context io;
+  net::Clock clock;
+  net::Timers timers{io, clock};
+  std::optional<CounterServer> server;
+  std::shared_ptr<net::Counter> client;
+  std::vector<CounterAnswered> answers;
+};
+
+TEST_F(CounterServerTest, AddsByNameAndForgets) {
+  make({});
+  EXPECT_DOUBLE_EQ(add(9, 2.5).total, 2.5);
+  EXPECT_DOUBLE_EQ(add(9, -1).total, 1.5);
+  EXPECT_DOUBLE_EQ(add(8, 1e9).total, 1e9);
+  EXPECT_EQ(server->counts().names, 2u);
+  EXPECT_DOUBLE_EQ(add(7, 1, 1'000).total, 1);  // lives 1 ms
+  ASSERT_TRUE(until(io, [&] { return add(7, 1, 1'000).total == 1 && server->counts().names >= 3; }));
+  ASSERT_TRUE(until(io, [&] { return server->counts().names == 0; }));  // swept
+}
+
+TEST_F(CounterServerTest, TurnsAwayPastItsRateAndUntilItBegins) {
+  make({.calls_per_s = 100, .line = 50'000, .begun = false});
+  EXPECT_EQ(add(1, 1).outcome, CountOutcome::kNotAdded);
+  server->begin();
+  EXPECT_EQ(add(1, 1).outcome, CountOutcome::kOk);
+  answers.clear();
+  for (int i = 0; i < 40; ++i) client->add({1, 1, 4'000'000});
+  ASSERT_TRUE(until(io, [&] { return answers.size() == 40; }));
+  const auto ok = std::count_if(answers.begin(), answers.end(),
+                                [](const auto& a) { return a.outcome == CountOutcome::kOk; });
+  EXPECT_GE(ok, 5);  // its line
+  EXPECT_LT(ok, 40);
+  EXPECT_EQ(server->counts().turned_away, 1u + 40u - std::uint64_t(ok));
+  EXPECT_DOUBLE_EQ(add(1, 0).total, 1 + double(ok));  // what was turned away was not added
+}
+
+TEST_F(CounterServerTest, CallsOfAPartThatIsDownWaitAndAnswersKeepTheirOrder) {
+  make({.parts = 1});
+  server->set_down(0, true);
+  for (int i = 1; i <= 3; ++i) client->add({i, double(i), 4'000'000});
+  ASSERT_TRUE(until(io, [&] { return server->counts().calls == 3; }));
+  EXPECT_TRUE(answers.empty());
+  server->set_down(0, false);
+  ASSERT_TRUE(until(io, [&] { return answers.size() == 3; }));
+  for (int i = 0; i < 3; ++i) EXPECT_DOUBLE_EQ(answers[std::size_t(i)].total, i + 1);
+}
+
+TEST_F(CounterServerTest, AnswersWhatThePageTellsRaw) {
+  make({});
+  tcp::socket socket(io);
+  socket.connect(server->address());
+  const auto call = [](std::vector<std::string> words) {
+    std::string out = "*" + std::to_string(words.size()) + "\r\n";
+    for (const auto& w : words) out += "$" + std::to_string(w.size()) + "\r\n" + w + "\r\n";
+    return out;
+  };
+  asio::write(socket,
+              asio::buffer(call({"PING"}) + call({"CLIENT", "SETNAME", "x"}) + call({"SELECT", "0"}) +
+                           call({"CNT.ADD", "n", "-2.5", "4000"}) + call({"CNT.ADD", "n", "2e9", "4000"}) +
+                           call({"CNT.ADD", std::string(65, 'n'), "1", "4000"}) +
+                           call({"CNT.ADD", "n", "1", "0"}) + call({"GET", "n"}) + call({"PING"})));
+  std::string in;
+  const std::string want =
+      "+PONG\r\n+OK\r\n+OK\r\n$4\r\n-2.5\r\n-ERR no such call\r\n-ERR no such call\r\n-ERR no such call\r\n"
+      "-ERR no such call\r\n+PONG\r\n";
+  bool done = false;
+  asio::async_read(socket, asio::dynamic_buffer(in, want.size()), [&](auto, auto) { done = true; });
+  ASSERT_TRUE(until(io, [&] { return done; }));
+  EXPECT_EQ(in, want);
+}
+
+// ---- The servers --------------------------------------------------------------------------------------
+TEST(OriginServersTest, AnswerAsThePageTells) {
+  Machine machine;
+  auto& servers = machine.host<OriginServers>(3, 7);
+  machine.run([&] {
+    servers.set_answer(1, {.status = 503, .never_ran = true, .service = 0});
+    servers.set_answer(2, {.status = 500, .service = 0});
+  });
+  asio::io_context io;
+  const auto ask = [&](std::size_t server, const std::string& target, const std::string& headers) {
+    tcp::socket socket(io);
+    socket.connect(machine.run([&] { return servers.address(server); }));
+    asio::write(socket, asio::buffer("GET " + target + " HTTP/1.1\r\nHost: x\r\n" + headers + "\r\n"));
+    std::string answer;
+    asio::read_until(socket, asio::dynamic_buffer(answer), "\r\n\r\n");
+    return answer;
+  };
+  const std::string id = "X-Trace-Id: t1\r\n";
+  EXPECT_EQ(ask(0, "/read/1", id).substr(0, 12), "HTTP/1.1 200");
+  EXPECT_NE(ask(1, "/read/1", id).find("503 Answer\r\nX-Never-Ran: 1\r\n"), std::string::npos);
+  EXPECT_EQ(ask(5, "/read/1", id).substr(0, 12), "HTTP/1.1 500");  // the third of three, again
+  EXPECT_EQ(ask(0, "/read/1", "").substr(0, 12), "HTTP/1.1 404");
+  EXPECT_EQ(ask(0, "/ping", id).substr(0, 12), "HTTP/1.1 404");
+  const auto counts = machine.run([&] { return servers.counts(); });
+  EXPECT_EQ(counts.requests, 5u);
+  EXPECT_EQ(counts.answers.at(404), 2u);
+}
+
+// ---- The day ------------------------------------------------------------------------------------------
+TEST(DayTest, HasTheTargetsCountsInOrder) {
+  const Target target;
+  const Layout layout = Layout::at(target, target.servers, target.gateways);
+  const auto day = draw_day(layout, {.seed = 3});
+  ASSERT_TRUE(std::is_sorted(day.begin(), day.end(),
+                             [](const Happening& a, const Happening& b) { return a.at < b.at; }));
+  std::map<std::pair<Cause, Change>, std::size_t> counts;
+  for (const Happening& h : day) ++counts[{h.cause, h.change}];
+  const auto near = [](std::size_t count, double mean) {
+    return std::abs(double(count) - mean) < 5 * std::sqrt(mean);
+  };
+  EXPECT_TRUE(near(counts[{Cause::kRestart, Change::kDraining}], target.restarts_per_day));
+  EXPECT_EQ(counts[(std::pair{Cause::kRestart, Change::kGone})],
+            counts[(std::pair{Cause::kRestart, Change::kDraining})]);
+  EXPECT_EQ(counts[(std::pair{Cause::kRestart, Change::kUp})],
+            counts[(std::pair{Cause::kRestart, Change::kDraining})]);
+  EXPECT_TRUE(near(counts[{Cause::kConfiguration, Change::kSettings}], target.config_changes_per_day));
+  // Machines hold several servers each, of which some may be away already.
+  const auto machines = counts[{Cause::kMachine, Change::kGone}];
+  EXPECT_TRUE(near(machines / kServersAMachine, target.failures_per_day)) << machines;
+  EXPECT_EQ(machines, (counts[{Cause::kMachine, Change::kUp}]));
+}
+
+TEST(DayTest, SameSeedSameDayOtherSeedAnotherAndAPartIsAPart) {
+  const Layout layout = Layout::at(Target{}, 17'000, 740);
+  const auto day = draw_day(layout, {.seed = 3, .compression = 60});
+  EXPECT_EQ(day, draw_day(layout, {.seed = 3, .compression = 60}));
+  EXPECT_NE(day, draw_day(layout, {.seed = 4, .compression = 60}));
+  const auto restarts = std::count_if(day.begin(), day.end(), [](const Happening& h) {
+    return h.cause == Cause::kRestart && h.change == Change::kUp;
+  });
+  EXPECT_NEAR(double(restarts), 1400, 5 * std::sqrt(1400.0));  // a tenth of the servers, all day long
+  EXPECT_LT(day.back().at, Micros(30 * 3600e6 / 60));
+}
+
+TEST(DayTest, EachServersChangesMakeSense) {
+  const Layout layout = Layout::at(Target{}, 2'000, 20);
+  // Many times the target's rates, so that causes meet.
+  const auto day = draw_day(layout, {.seed = 5, .share = 1});
+  std::vector<Change> now(layout.servers, Change::kUp);
+  for (const Happening& h : day) {
+    if (h.cause == Cause::kRegion || h.cause == Cause::kConfiguration) continue;
+    Change& was = now.at(h.what);
+    const Change before = h.change == Change::kUp                                   ? Change::kGone
+                          : h.change == Change::kGone && h.cause == Cause::kRestart ? Change::kDraining
+                                                                                    : Change::kUp;
+    EXPECT_EQ(was, before);
+    was = h.change;
+  }
+  EXPECT_TRUE(std::all_of(now.begin(), now.end(), [](Change c) { return c == Change::kUp; }));
+}
+
+TEST(DayTest, ServersLieEvenly) {
+  const Layout layout = Layout::at(Target{}, 170'000, 7'400);
+  std::map<std::size_t, std::size_t> zones, racks;
+  for (std::size_t i = 0; i < layout.servers; ++i) ++zones[layout.zone(i)], ++racks[layout.rack(i)];
+  ASSERT_EQ(zones.size(), 7u);
+  EXPECT_EQ(racks.size(), layout.racks());
+  for (const auto& [zone, count] : zones) EXPECT_NEAR(double(count), 170'000 / 7.0, 1);
+  for (const auto& [rack, count] : racks) EXPECT_LE(count, Layout::rack_servers());
+}
+
+// ---- A fleet ------------------------------------------------------------------------------------------
+TEST(FleetTest, TwentyHollowGatewaysServeAndFollowTheList) {
+  CountedLog log;
+  Machine tier, counting;
+  const auto servers = some_servers(200);
+  auto& agent = tier.host<DiscoveryAgent>(DiscoveryAgent::Options{.servers = servers});
+  auto& counter = counting.host<CounterServer>(CounterServer::Options{});
+  FleetOptions options;
+  options.gateways = 20;
+  options.groups = 2;
+  options.agents = {agent.address()};
+  options.counter = counter.address();
+  options.requests_per_s = 50;
+  options.servers = servers.size();
+  Fleet fleet(options);
+  fleet.expect(servers);
+  constexpr Micros kBound = 20'000'000;
+  ASSERT_TRUE(fleet.wait([](const FleetState& s) { return s.right == 20 && s.served > 200; }, kBound));
+  EXPECT_GT(fleet.state().calls, 0u);
+
+  const Micros since = steady_now();
+  auto gone = changed(servers[5], Phase::kRemoved);
+  const auto revision = tier.run([&] { return agent.change({gone}); });
+  fleet.expect(tier.run([&] { return agent.servers(); }));
+  ASSERT_TRUE(fleet.wait([&](const FleetState& s) { return s.least_revision >= revision; }, kBound));
+  EXPECT_EQ(fleet.state().right, 20u);
+  const auto delays = fleet.delays(revision, since);
+  ASSERT_EQ(delays.size(), 20u);
+  for (const double d : delays) EXPECT_GT(d, 0);
+
+  fleet.restart(1);
+  ASSERT_TRUE(fleet.wait([](const FleetState& s) { return s.right == 20; }, kBound));
+  const FleetState s = fleet.state();
+  EXPECT_EQ(s.were_without, 0u);
+  EXPECT_EQ(tier.run([&] { return agent.counts().lists; }), 30u);  // ten started with none, again
+  EXPECT_GT(counting.run([&] { return counter.counts().calls; }), 0u);
+  EXPECT_EQ(s.failed, 0u);
+  EXPECT_GT(s.cpu, s.module_cpu);
+}
+
+TEST(FleetTest, ASizePastTheDescriptorsIsRefusedBeforeItStarts) {
+  FleetOptions options;
+  options.agents = {tcp::endpoint(asio::ip::address_v4::loopback(), 1)};
+  options.gateways = raise_descriptor_limit();
+  EXPECT_THROW(Fleet{options}, std::runtime_error);
+}
+
+}  // namespace
+}  // namespace cottonroad::scale
