Scale tests: slopes of a fleet and events that befall it

Cause: what watchers, changes, lists, calls, names and tenants cost, and what a lost rack, zone, region or control machine does to a fleet, was known from no run.

--- a/scale/hollow.cpp
+++ b/scale/hollow.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <charconv>
+#include <chrono>
 #include <cmath>
 #include <fstream>
 #include <iostream>
@@ -29,6 +30,11 @@
 constexpr Micros kPatience = 4'000'000;  // us of a client
 constexpr double kSkew = 3;              // assumed: of u^skew x tenants, u even, whose request it is
 constexpr std::size_t kSpareDescriptors = 200;
+constexpr Micros kSmallBeat = 200'000;   // us between heartbeats in the small size, for the page's 2 s
+constexpr double kGatewayBytes = 150e3;  // a hollow gateway without servers and tenants, measured, rounded up
+constexpr double kServerBytes = 1.5e3;   // of each listed server at a gateway
+constexpr double kListBytes = 150;       // of a server on the wire
+constexpr double kTenantBytes = 1e3;     // of a tenant at a gateway
 
 // The number in an id that server_id() made.
 std::size_t server_number(const std::string& id) {
@@ -80,6 +86,7 @@
 
   void expect(std::shared_ptr<const std::vector<bool>> up) {
     expected_ = std::move(up);
+    right_at_ = 0;
     look_right();
   }
 
@@ -153,12 +160,11 @@
     look_right();
   }
 
+  // Until it is right once; then what it was held to is let go of, which is costly to look at.
   void look_right() {
-    if (!expected_) return;
-    const bool right =
-        revision_ > 0 && std::equal(expected_->begin(), expected_->end(), up_.begin(), up_.end());
-    if (!right) right_at_ = 0;
-    if (right && right_at_ == 0) right_at_ = steady_now();
+    if (!expected_ || revision_ == 0 || up_ != *expected_) return;
+    expected_ = nullptr;
+    right_at_ = steady_now();
   }
 
   // ---- requests
@@ -174,10 +180,13 @@
   void arrive() {
     const int spread = std::max(1, std::min(options_.spread, int(options_.gateways)));
     const std::size_t set = position_ / std::size_t(spread);
+    const std::size_t tenants = std::max<std::size_t>(1, options_.tenants);
     const double u = std::uniform_real_distribution<>(0, 1)(random_);
-    const auto tenant = std::size_t(std::pow(u, kSkew) * double(std::max<std::size_t>(1, options_.tenants)));
+    // Each once at first, so that a gateway has met all of them.
+    const std::size_t tenant =
+        last_ < tenants ? std::size_t(last_) : std::size_t(std::pow(u, kSkew) * double(tenants));
     char name[20];
-    std::snprintf(name, sizeof name, "%016zx", set * options_.tenants + tenant);
+    std::snprintf(name, sizeof name, "%016zx", set * tenants + tenant);
     RequestArrived r;
     r.id = std::to_string(++last_);
     r.customer = name;
@@ -409,6 +418,190 @@
   return out;
 }
 
+// ---- World --------------------------------------------------------------------------------------------
+World::World(Options options) : options_(std::move(options)) {
+  const Layout& layout = options_.layout;
+  // Addresses that differ, so that lists are as long as real ones; nothing listens there.
+  servers_ = list_of(layout, [](std::size_t i) {
+    return "127." + std::to_string(1 + i / 62'500) + "." + std::to_string(i / 250 % 250) + "." +
+           std::to_string(1 + i % 250) + ":8081";
+  });
+  options_.agent.servers = servers_;
+  for (std::size_t i = 0; i < std::max<std::size_t>(1, options_.agents); ++i) {
+    auto machine = std::make_unique<Machine>();
+    auto& agent = machine->host<DiscoveryAgent>(options_.agent);
+    options_.fleet.agents.push_back(agent.address());
+    agents_.emplace_back(std::move(machine), &agent);
+  }
+  if (options_.counter) {
+    counting_ = std::make_unique<Machine>();
+    counter_ = &counting_->host<CounterServer>(options_.counting);
+    options_.fleet.counter = counter_->address();
+  }
+  options_.fleet.gateways = layout.gateways;
+  options_.fleet.servers = layout.servers;
+  if (options_.known) options_.fleet.known = known_list(servers_, options_.agent.revision);
+}
+
+void World::begin() { fleet_ = std::make_unique<Fleet>(options_.fleet); }
+
+std::int64_t World::change(const std::vector<ListedServer>& entries, bool expected) {
+  for (const ListedServer& e : entries) servers_.at(server_number(e.id)) = e;
+  if (expected) expect();
+  std::int64_t revision = 0;
+  for (std::size_t i = 0; i < agents_.size(); ++i)
+    revision = at_agent(i, [&](DiscoveryAgent& agent) { return agent.change(entries); });
+  return revision;
+}
+
+ListedServer World::entry(std::size_t server, Phase phase) const {
+  ListedServer out = servers_.at(server);
+  out.phase = phase;
+  if (phase == Phase::kUp) {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    out.up_since_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  }
+  return out;
+}
+
+std::vector<ListedServer> World::entries(Phase phase, const std::function<bool(std::size_t)>& in) const {
+  std::vector<ListedServer> out;
+  for (std::size_t i = 0; i < servers_.size(); ++i)
+    if (in(i)) out.push_back(entry(i, phase));
+  return out;
+}
+
+std::size_t World::play(const std::vector<Happening>& day, Micros length) {
+  const auto begun = std::chrono::steady_clock::now();
+  std::size_t changes = 0;
+  for (auto it = day.begin(); it != day.end() && it->at < length;) {
+    std::vector<ListedServer> entries;
+    const Micros at = it->at;
+    for (; it != day.end() && it->at == at; ++it) {
+      if (it->cause == Cause::kRegion || it->cause == Cause::kConfiguration) continue;
+      entries.push_back(entry(it->what, it->change == Change::kUp         ? Phase::kUp
+                                        : it->change == Change::kDraining ? Phase::kDraining
+                                                                          : Phase::kRemoved));
+    }
+    if (entries.empty()) continue;
+    std::this_thread::sleep_until(begun + std::chrono::microseconds(at));
+    change(entries);
+    changes += entries.size();
+  }
+  std::this_thread::sleep_until(begun + std::chrono::microseconds(length));
+  return changes;
+}
+
+bool World::all_right(Micros bound) {
+  expect();
+  const std::size_t gateways = options_.layout.gateways;
+  return fleet_->wait([gateways](const FleetState& s) { return s.right == gateways; }, bound);
+}
+
+World::Spent World::spent() {
+  Spent s;
+  s.at = steady_now();
+  for (std::size_t i = 0; i < agents_.size(); ++i) {
+    const auto c = at_agent(i, [](DiscoveryAgent& agent) { return agent.counts(); });
+    auto& sum = s.discovery;
+    sum.traffic.sent += c.traffic.sent;
+    sum.traffic.received += c.traffic.received;
+    sum.traffic.writes += c.traffic.writes;
+    sum.asks += c.asks;
+    for (const auto& [second, asks] : c.asks_by_second) sum.asks_by_second[second] += asks;
+    sum.lists += c.lists;
+    sum.differences += c.differences;
+    sum.changes += c.changes;
+    sum.heartbeats += c.heartbeats;
+    sum.connections += c.connections;
+    sum.watchers += c.watchers;
+    s.agents_cpu += agents_[i].first->cpu();
+  }
+  if (counter_) {
+    s.counting = counting_->run([this] { return counter_->counts(); });
+    s.counter_cpu = counting_->cpu();
+  }
+  if (fleet_) {
+    const FleetState state = fleet_->state();
+    s.gateways_cpu = state.cpu;
+    s.module_cpu = state.module_cpu;
+  }
+  return s;
+}
+
+World::Spent World::Spent::since(const Spent& before) const {
+  Spent s = *this;
+  s.at -= before.at;
+  s.agents_cpu -= before.agents_cpu;
+  s.counter_cpu -= before.counter_cpu;
+  s.gateways_cpu -= before.gateways_cpu;
+  s.module_cpu -= before.module_cpu;
+  s.discovery.traffic.sent -= before.discovery.traffic.sent;
+  s.discovery.traffic.received -= before.discovery.traffic.received;
+  s.discovery.asks -= before.discovery.asks;
+  s.discovery.lists -= before.discovery.lists;
+  s.discovery.differences -= before.discovery.differences;
+  s.discovery.changes -= before.discovery.changes;
+  s.discovery.heartbeats -= before.discovery.heartbeats;
+  s.discovery.connections -= before.discovery.connections;
+  s.counting.traffic.sent -= before.counting.traffic.sent;
+  s.counting.traffic.received -= before.counting.traffic.received;
+  s.counting.calls -= before.counting.calls;
+  return s;
+}
+
+Delays delays_of(std::vector<double> samples) {
+  if (samples.empty()) return {};
+  std::sort(samples.begin(), samples.end());
+  return {samples[samples.size() / 2], samples.back()};
+}
+
+std::vector<std::size_t> doubling_sizes(std::size_t largest) {
+  std::vector<std::size_t> sizes;
+  for (const std::size_t part : {8, 4, 2, 1}) sizes.push_back(std::max<std::size_t>(1, largest / part));
+  return sizes;
+}
+
+// ---- What the scenarios of a fleet share ----------------------------------------------------------------
+bool Until::over(Report& report, const std::string& scenario, const std::string& what) const {
+  if (steady_now() < at_) return false;
+  report.note(scenario, "out of time: not run at " + what);
+  return true;
+}
+
+void pause(Micros time) { std::this_thread::sleep_for(std::chrono::microseconds(time)); }
+
+std::uint64_t fleet_memory(double gateways, double servers, double tenants, double agents) {
+  return std::uint64_t(gateways * (kGatewayBytes + kServerBytes * servers + kTenantBytes * tenants) +
+                       agents * servers * 4 * kListBytes);
+}
+
+// A fleet of that size needs more descriptors than a process may have: bad input, told before anything
+// starts.
+std::uint64_t checked(std::uint64_t memory, std::size_t gateways, bool counter) {
+  FleetOptions fleet;
+  fleet.gateways = gateways;
+  if (counter) fleet.counter.emplace();
+  const std::size_t needed = descriptors_of(fleet), allowed = raise_descriptor_limit();
+  if (needed > allowed)
+    throw std::invalid_argument(std::to_string(gateways) + " gateways need " + std::to_string(needed) +
+                                " descriptors, " + std::to_string(allowed) + " are allowed");
+  return memory;
+}
+
+World::Options world_of(const Options& options, std::size_t gateways, std::size_t servers) {
+  World::Options world;
+  world.layout = Layout::at(Target{}, servers, gateways);
+  world.fleet.seed = options.seed;
+  if (options.small) world.agent.heartbeat = kSmallBeat;
+  return world;
+}
+
+void begin(World& world) {
+  world.begin();
+  if (!world.all_right(kSettles)) throw std::runtime_error("gateways have no list after a minute");
+}
+
 // ---- What it takes ------------------------------------------------------------------------------------
 std::uint64_t allocated_bytes() {
   const struct mallinfo2 info = mallinfo2();
--- a/scale/hollow.hpp
+++ b/scale/hollow.hpp
@@ -2,6 +2,7 @@
 // process, without sockets to clients and servers: a synthetic source asks, and attempts end by a timer.
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -14,7 +15,10 @@
 #include <vector>
 
 #include "cottonroad/gateway.hpp"
+#include "day.hpp"
 #include "discovery.hpp"
+#include "report.hpp"
+#include "scenario.hpp"
 #include "standins.hpp"
 
 namespace cottonroad::scale {
@@ -31,7 +35,7 @@
   int spread = 3;                        // gateways of a tenant's set
   Micros service = 5'000;                // us from an attempt to its answer
   std::uint64_t seed = 1;
-  std::shared_ptr<const net::MemberList> known;  // that a gateway starts with; null: none
+  std::shared_ptr<const net::MemberList> known = nullptr;  // that a gateway starts with; null: none
 
   static Settings fleet_settings();
 };
@@ -77,7 +81,7 @@
   void restart(std::size_t group);
   std::size_t groups() const { return machines_.size(); }
   void load(double requests_per_s);
-  // The servers that are up by the agents' list; from now on gateways tell when they know just these.
+  // The servers that are up by the agents' list; from now on gateways tell when they first know just these.
   void expect(const std::vector<ListedServer>& servers);
   FleetState state() const;
   // Looks until it holds of the state, for `bound` at most; false if it never did.
@@ -98,6 +102,15 @@
   FleetState ended_;  // figures of those that were restarted
 };
 
+// Of delays in us: the middle one, and the last.
+struct Delays {
+  double median = 0, last = 0;
+};
+Delays delays_of(std::vector<double> samples);
+
+// Sizes for a slope: an eighth, a quarter, half and all of the largest.
+std::vector<std::size_t> doubling_sizes(std::size_t largest);
+
 // Descriptors that a fleet takes, and the other ends of its connections with it.
 std::size_t descriptors_of(const FleetOptions& options);
 // Bytes that this process has allocated, and that it holds in memory.
@@ -119,6 +132,110 @@
   std::atomic<std::uint64_t> lines_{0};
 };
 
+// A fleet with all that it needs: agents that are told the same, each on a machine of its own, a counter.
+class World {
+ public:
+  struct Options {
+    Layout layout = {};
+    std::size_t agents = 1;
+    bool counter = false;
+    bool known = false;  // gateways start with the list as it is at the beginning
+    DiscoveryAgent::Options agent = {};
+    CounterServer::Options counting = {};
+    FleetOptions fleet = {};  // its agents, counter, sizes and list are filled in
+  };
+  // What the control machines have spent and carried so far, or between two such moments.
+  struct Spent {
+    Micros at = 0, agents_cpu = 0, counter_cpu = 0, gateways_cpu = 0, module_cpu = 0;
+    DiscoveryAgent::Counts discovery;  // of all agents
+    CounterServer::Counts counting;
+    double seconds() const { return double(at) / 1e6; }
+    Spent since(const Spent& before) const;
+  };
+
+  // Without gateways until begin().
+  explicit World(Options options);
+  void begin();
+  const Layout& layout() const { return options_.layout; }
+  Fleet& fleet() { return *fleet_; }
+  DiscoveryAgent& agent(std::size_t i) { return *agents_.at(i).second; }
+  std::size_t agents() const { return agents_.size(); }
+  // On the machine of that agent.
+  template <typename What>
+  decltype(auto) at_agent(std::size_t i, What what) {
+    return agents_.at(i).first->run([&] { return what(*agents_[i].second); });
+  }
+  // From now on gateways tell when they first know just the servers that are up.
+  void expect() { fleet_->expect(servers_); }
+  // Tells all agents. Returns the revision. Where it matters when all are right, `expected` has it expected
+  // first.
+  std::int64_t change(const std::vector<ListedServer>& entries, bool expected = false);
+  // The server as it is listed, in that phase; up: started just now.
+  ListedServer entry(std::size_t server, Phase phase) const;
+  // All of one rack, zone or whatever `in` picks.
+  std::vector<ListedServer> entries(Phase phase, const std::function<bool(std::size_t)>& in) const;
+  // Carries out what happens to servers in so many us of the day from its beginning, at its own times.
+  // Returns how many changes of servers that were.
+  std::size_t play(const std::vector<Happening>& day, Micros length);
+  // Waits, `bound` at most, until all gateways know just the servers that are up.
+  bool all_right(Micros bound);
+  Spent spent();
+  // That the clients wrote.
+  std::uint64_t log_lines() const { return log_.lines(); }
+
+ private:
+  CountedLog log_;
+  Options options_;
+  std::vector<ListedServer> servers_;
+  std::vector<std::pair<std::unique_ptr<Machine>, DiscoveryAgent*>> agents_;
+  std::unique_ptr<Machine> counting_;
+  CounterServer* counter_ = nullptr;
+  std::unique_ptr<Fleet> fleet_;  // ends first
+};
+
+// ---- What the scenarios of a fleet share ----------------------------------------------------------------
+constexpr Micros kSettles = 60'000'000;  // us until a fleet has its list, at the most
+
+// Sizes as they are given, or the scenario's own.
+struct Sizes {
+  const Options& options;
+  std::size_t gateways(std::size_t whole, std::size_t small) const {
+    return pick(options.gateways, whole, small);
+  }
+  std::size_t servers(std::size_t whole, std::size_t small) const {
+    return pick(options.servers, whole, small);
+  }
+  Micros window(double whole_s, double small_s) const {
+    return Micros((options.small ? small_s : whole_s) * 1e6);
+  }
+
+ private:
+  std::size_t pick(std::size_t given, std::size_t whole, std::size_t small) const {
+    return given > 0 ? given : options.small ? small : whole;
+  }
+};
+
+// The wall clock's end of a scenario; what would begin after it is left out and named.
+class Until {
+ public:
+  Until(const Options& options, double own_s)
+      : at_(steady_now() + Micros(1e6 * (options.seconds > 0 ? options.seconds : own_s))) {}
+  bool over(Report& report, const std::string& scenario, const std::string& what) const;
+  Micros left() const { return std::max<Micros>(0, at_ - steady_now()); }
+
+ private:
+  const Micros at_;
+};
+
+void pause(Micros time);
+// Bytes that a world takes, by what was measured, rounded up.
+std::uint64_t fleet_memory(double gateways, double servers, double tenants = 0, double agents = 1);
+// Hands `memory` back. Throws std::invalid_argument if a process may not have the descriptors for the fleet.
+std::uint64_t checked(std::uint64_t memory, std::size_t gateways, bool counter);
+World::Options world_of(const Options& options, std::size_t gateways, std::size_t servers);
+// Throws std::runtime_error if the gateways have no list in time.
+void begin(World& world);
+
 // The list as the agents would tell it, for gateways that start with one.
 std::shared_ptr<const net::MemberList> known_list(const std::vector<ListedServer>& servers,
                                                   std::int64_t revision);
--- a/scale/standins.cpp
+++ b/scale/standins.cpp
@@ -427,10 +427,8 @@
     by->waiting.push_back(target);
     return;
   }
-  const Micros now = steady_now();
-  if (counts_.asks++ == 0) first_ask_ = now;
-  counts_.asks_by_second.resize(std::size_t((now - first_ask_) / 1'000'000) + 1);
-  ++counts_.asks_by_second.back();
+  ++counts_.asks;
+  ++counts_.asks_by_second[steady_now() / 1'000'000];
   if (turned_away_status_ != 0) {
     ++counts_.turned_away;
     std::string refusal = "HTTP/1.1 " + std::to_string(turned_away_status_) + " Turned Away\r\n";
--- a/scale/standins.hpp
+++ b/scale/standins.hpp
@@ -110,8 +110,7 @@
     std::uint64_t changes = 0;      // objects pushed to watchers, one for each of them
     std::uint64_t heartbeats = 0, connections = 0, turned_away = 0, too_slow = 0;
     std::size_t watchers = 0;  // now
-    // Asks of each second since the first one.
-    std::vector<std::uint32_t> asks_by_second;
+    std::map<Micros, std::uint32_t> asks_by_second;  // by second of steady_now()
   };
 
   DiscoveryAgent(boost::asio::io_context& io, Options options);
@@ -175,7 +174,6 @@
   std::map<std::int64_t, Buffer> differences_;  // by `after`, up to the present revision
   bool silent_ = false, running_ = false;
   int turned_away_status_ = 0, retry_after_s_ = 0;
-  Micros first_ask_ = 0;
   Counts counts_;
 };
 
