Upstream: state only for servers with connections, the rest from the catalog

Change: addresses, starts and states come from the Catalog; a pool exists as long as it holds an idle connection. listed() and any_up() are counts. update() stays as all of a list at once, apply() gives it slice by slice.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -11,9 +11,7 @@
 #include <cerrno>
 #include <charconv>
 #include <optional>
-#include <set>
 #include <string_view>
-#include <tuple>
 
 #include "framing.hpp"
 
@@ -179,82 +177,44 @@
 Upstream::~Upstream() = default;
 
 std::vector<std::string> Upstream::update(const MemberList& list) {
-  if (list.complete) forget_unlisted(list);
-  for (const Member& m : list.members) {
-    // Danger: connections to a process that is gone may stay open and silent.
-    if (m.entry.state == ServerState::kRemoved) {
-      forget(m.entry.server);
-      continue;
-    }
-    Pool& pool = pools_[m.entry.server];
-    const bool told_address = m.address.port() != 0;
-    const bool other = m.entry.started_at != pool.started_at || (told_address && m.address != pool.address);
-    pool.up = m.entry.state == ServerState::kUp && told_address;
-    pool.started_at = m.entry.started_at;
-    if (told_address) pool.address = m.address;
-    if (other)
-      while (!pool.idle.empty()) drop(*Held(pool.idle.back()));
-  }
-  return forget_replaced(list);
-}
-
-// Danger: what is meant for the one that was at an address would come to the new one there, which may be
-// cold. The last to start is the one that is there, and of equals the one told now.
-std::vector<std::string> Upstream::forget_replaced(const MemberList& list) {
-  std::set<std::string> told;
-  for (const Member& m : list.members) told.insert(m.entry.server);
-  const auto rank = [&](const auto& entry) {
-    return std::tuple(entry.second.started_at, told.count(entry.first));
-  };
-  std::map<tcp::endpoint, std::pair<const std::string, Pool>*> latest;
   std::vector<std::string> replaced;
-  for (auto& entry : pools_) {
-    if (entry.second.address.port() == 0) continue;
-    auto& there = latest[entry.second.address];
-    if (there && rank(*there) != rank(entry))
-      replaced.push_back(rank(*there) < rank(entry) ? there->first : entry.first);
-    if (!there || rank(*there) < rank(entry)) there = &entry;
-  }
-  for (const auto& id : replaced) forget(id);
+  take(list);
+  while (!settled())
+    for (auto& server : apply().replaced) replaced.push_back(std::move(server));
   return replaced;
 }
 
+// Danger: connections to a process that is gone may stay open and silent.
+Difference Upstream::apply() {
+  Difference difference = catalog_.apply();
+  for (const auto& server : difference.closed) forget(server);
+  return difference;
+}
+
 void Upstream::bound(std::size_t connections) {
   limits_.connections = connections;
   while (open_ > connections && drop_oldest()) {
   }
 }
 
-bool Upstream::any_up() const {
-  return std::any_of(pools_.begin(), pools_.end(), [](const auto& entry) { return entry.second.up; });
-}
-
 void Upstream::forget(const std::string& server) {
   const auto pool = pools_.find(server);
   if (pool == pools_.end()) return;
-  while (!pool->second.idle.empty()) drop(*Held(pool->second.idle.back()));
-  pools_.erase(pool);
-}
-
-// Servers get new ids when they are replaced, all day long: those that a whole list leaves out are not kept.
-void Upstream::forget_unlisted(const MemberList& list) {
-  std::set<std::string> unlisted;
-  for (const auto& [id, pool] : pools_) unlisted.insert(id);
-  for (const Member& m : list.members) unlisted.erase(m.entry.server);
-  for (const auto& id : unlisted) forget(id);
+  // The pool goes with its last connection.
+  for (const Held& c : Pool(pool->second)) drop(*c);
 }
 
 void Upstream::send(AttemptKey key, const std::string& server, const Outgoing& what, Micros until) {
-  const auto found = pools_.find(server);
-  if (found == pools_.end() || !found->second.up) return end_later(key, Outcome::kNotSent);
-  Held c = take_idle(found->second);
+  const auto found = catalog_.find(server);
+  if (!found || !found->up) return end_later(key, Outcome::kNotSent);
+  Held c = take_idle(server);
   const bool fresh = !c;
   if (fresh) {
     if (!make_room()) return end_later(key, Outcome::kNotSent);
     c = std::make_shared<Connection>(io_);
     c->server = server;
-    c->address = found->second.address;
-    c->started_at = found->second.started_at;
+    c->address = found->address;
+    c->started_at = found->started_at;
     ++open_;
   }
   c->attempt = key;
@@ -289,20 +249,22 @@
   return written;
 }
 
-Upstream::Held Upstream::take_idle(Pool& pool) {
+Upstream::Held Upstream::take_idle(const std::string& server) {
   const Micros now = clock_.now();
   // Danger: what still comes after an answer would be read as that to the next request.
   const auto settled = [&](const Held& c) { return now - c->idle_since >= limits_.settle; };
   while (true) {
-    const auto last = std::find_if(pool.idle.rbegin(), pool.idle.rend(), settled);
-    if (last == pool.idle.rend()) return nullptr;
+    const auto pool = pools_.find(server);
+    if (pool == pools_.end()) return nullptr;
+    const auto last = std::find_if(pool->second.rbegin(), pool->second.rend(), settled);
+    if (last == pool->second.rend()) return nullptr;
     const Held c = *last;
     char byte;
     const auto got = ::recv(c->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     const bool open = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     if (open && now - c->idle_since < reuse_for_) {
       c->rested = now - c->idle_since;
-      pool.idle.erase(std::next(last).base());
+      forget_idle(*c);
       return c;
     }
     drop(*c);  // closed by the server, about to be, or with an answer to nothing
@@ -313,12 +275,11 @@
 
 // Closes what has idled longest. False if nothing idles.
 bool Upstream::drop_oldest() {
-  Pool* oldest = nullptr;
-  for (auto& [id, pool] : pools_)
-    if (!pool.idle.empty() && (!oldest || pool.idle.front()->idle_since < oldest->idle.front()->idle_since))
-      oldest = &pool;
+  const Held* oldest = nullptr;
+  for (const auto& [server, pool] : pools_)
+    if (!oldest || pool.front()->idle_since < (*oldest)->idle_since) oldest = &pool.front();
   if (!oldest) return false;
-  drop(*Held(oldest->idle.front()));
+  drop(*Held(*oldest));
   return true;
 }
 
@@ -328,9 +289,8 @@
     if (ec) return end(c, {Outcome::kConnectFailed, {}, {}}, false);
     // Danger: the server may have been told off while the connect was under way, or be another process by
     // now.
-    const auto pool = pools_.find(c->server);
-    if (pool == pools_.end() || !pool->second.up || pool->second.address != c->address ||
-        pool->second.started_at != c->started_at)
+    const auto now = catalog_.find(c->server);
+    if (!now || !now->up || now->address != c->address || now->started_at != c->started_at)
       return end(c, {Outcome::kNotSent, {}, {}}, false);
     error_code ignored;
     c->socket.set_option(tcp::no_delay(true), ignored);
@@ -556,13 +516,13 @@
 void Upstream::end(const Held& c, AttemptResult result, bool keep) {
   const AttemptKey key = c->attempt;
   attempts_.erase(key);
-  const auto pool = pools_.find(c->server);
-  if (keep && pool != pools_.end() && pool->second.up && pool->second.address == c->address) {
+  const auto now = catalog_.find(c->server);
+  if (keep && now && now->up && now->address == c->address) {
     c->state = Connection::State::kIdle;
     c->idle_since = clock_.now();
     c->parser.reset();
     c->pending.clear();
-    pool->second.idle.push_back(c);
+    pools_[c->server].push_back(c);
   } else {
     drop(*c);
   }
@@ -578,12 +538,11 @@
   c.socket.close(ignored);
 }
 
-void Upstream::forget_idle(Connection& c) {
+void Upstream::forget_idle(const Connection& c) {
   const auto pool = pools_.find(c.server);
   if (pool == pools_.end()) return;
-  auto& idle = pool->second.idle;
-  idle.erase(std::remove_if(idle.begin(), idle.end(), [&](const Held& h) { return h.get() == &c; }),
-             idle.end());
+  std::erase_if(pool->second, [&](const Held& h) { return h.get() == &c; });
+  if (pool->second.empty()) pools_.erase(pool);
 }
 
 void Upstream::end_later(AttemptKey key, Outcome outcome) {
@@ -592,9 +551,11 @@
 
 void Upstream::sweep() {
   const Micros now = clock_.now();
-  for (auto& [id, pool] : pools_)
-    while (!pool.idle.empty() && now - pool.idle.front()->idle_since >= reuse_for_)
-      drop(*Held(pool.idle.front()));
+  std::vector<Held> rested;
+  for (const auto& [server, pool] : pools_)
+    for (const Held& c : pool)
+      if (now - c->idle_since >= reuse_for_) rested.push_back(c);
+  for (const Held& c : rested) drop(*c);
   timers_.after(kSweep, [this] { sweep(); });
 }
 
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -4,13 +4,13 @@
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "catalog.hpp"
 #include "cottonroad/gateway.hpp"
 #include "discovery.hpp"
 #include "timers.hpp"
@@ -69,7 +69,14 @@
            AttemptEvents events);
   ~Upstream();
 
-  // Returns the servers whose address another one has now: what was there is gone, told or not.
+  // Takes a list, behind those that are on their way, for apply(); see Catalog.
+  void take(MemberList list) { catalog_.take(std::move(list)); }
+  // Puts the next slice of it in force and returns what has changed.
+  Difference apply();
+  // All that was taken is in force.
+  bool settled() const { return catalog_.settled(); }
+  // All of a list at once. Returns the servers whose address another one has now: what was there is gone,
+  // told or not.
   std::vector<std::string> update(const MemberList& list);
   // One result follows, never from within this call, unless the attempt is abandoned.
   void send(AttemptKey key, const std::string& server, const Outgoing& what, Micros until);
@@ -80,21 +87,16 @@
   // Closes the attempt's connection. True if its last byte may have been written.
   bool abandon(AttemptKey key);
   // Servers that are listed, and those of them that run.
-  std::size_t listed() const { return pools_.size(); }
-  bool any_up() const;
+  std::size_t listed() const { return catalog_.size(); }
+  bool any_up() const { return catalog_.up() > 0; }
   // From now on so many connections at the most.
   void bound(std::size_t connections);
 
  private:
   class Connection;
   using Held = std::shared_ptr<Connection>;
-  struct Pool {
-    bool up = false;
-    Micros started_at = 0;
-    boost::asio::ip::tcp::endpoint address;
-    std::vector<Held> idle;  // last used last
-  };
-  Held take_idle(Pool& pool);
+  using Pool = std::vector<Held>;  // idle connections to a server, last used last; never empty
+  Held take_idle(const std::string& server);
   bool make_room();
   bool drop_oldest();
   void connect(const Held& connection);
@@ -110,10 +112,8 @@
   void broke(const Held& connection);
   void watch_answer(const Held& connection);
   void forget(const std::string& server);
-  void forget_unlisted(const MemberList& list);
-  std::vector<std::string> forget_replaced(const MemberList& list);
   void end(const Held& connection, AttemptResult result, bool keep);
-  void forget_idle(Connection& connection);
+  void forget_idle(const Connection& connection);
   void learn_reuse(const Connection& connection, bool answered);
   void drop(Connection& connection);
   void end_later(AttemptKey key, Outcome outcome);
@@ -124,7 +124,8 @@
   const Clock& clock_;
   UpstreamLimits limits_;
   AttemptEvents events_;
-  std::map<std::string, Pool> pools_;
+  Catalog catalog_;
+  std::unordered_map<std::string, Pool> pools_;  // by server, of those that have one
   std::unordered_map<AttemptKey, Held, AttemptKeyHash> attempts_;
   std::size_t open_ = 0;
   std::array<char, 32 << 10> scratch_;  // what is being read
