Driver: lists go into force in slices, and the module is told of changes alone

Cause: a list was one event for the module however long it was, with all requests behind it, and was copied on its way several times.

Change: told() takes the list and puts the first slice in force in the same turn, so that a small list is in force at once as before; the loop runs between the others. The module gets kPartial updates of what changed (the list that we were given begins with a kPersisted one). Fit to serve only once the first list is in force whole; when that is longer than a slice, requests that come before it is wait in the driver, for else a fleet that is started at once would turn to the few servers of the first slice. The configuration is taken by value and its list moved.

--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -32,13 +32,13 @@
 
 }  // namespace
 
-Driver::Driver(asio::io_context& io, const Config& config)
+Driver::Driver(asio::io_context& io, Config config)
     : io_(io),
       settings_(config.settings),
       dial_timeout_(config.dial_timeout),
       timers_(io, clock_),
       gateway_(config.settings, config.seed),
-      known_(config.known),
+      known_(std::move(config.known)),
       upstream_(io, timers_, clock_, {config.conn_idle, config.dial_timeout, most_connections(config)},
                 {[this](AttemptKey key, AttemptResult result) { ended(key, std::move(result)); },
                  [this](AttemptKey key) { written(key); },
@@ -55,13 +55,9 @@
                  }}),
       discovery_at_(config.discovery),
       discovery_(
-          io, timers_, clock_, config.discovery, config.known.revision,
-          [this](const MemberList& list) {
-            using Kind = ServerListUpdate::Kind;
-            told(list, list.complete ? Kind::kComplete : Kind::kPartial);
-            look_ready();
-          },
-          config.seed, config.discovery_wait, [this] { believe_known(); }),
+          io, timers_, clock_, config.discovery, known_->revision,
+          [this](MemberList list) { told(std::move(list)); }, config.seed, config.discovery_wait,
+          [this] { believe_known(); }),
       frontend_(io, timers_, clock_, settings_, most_clients(config),
                 {[this](std::uint64_t client, ClientRequest r) { return took(client, std::move(r)); },
                  [this](std::uint64_t id) { gone(id); },
@@ -70,7 +66,7 @@
                    if (const auto it = requests_.find(id); it != requests_.end())
                      upstream_.resume({id, int(it->second.attempts.size()) - 1});
                  },
-                 [this] { return !known_; }}),
+                 [this] { return listed_; }}),
       succession_(io, timers_, config.folder, config.name, config.listen, [this] { met(); }),
       connections_(most_connections(config)) {
   count_at(config.counter);
@@ -106,7 +102,10 @@
   request.arrived.deadline = r.deadline;
   request.arrived.body_follows = !r.whole;
   if (r.whole) timers_.at(r.deadline + kBackstop, [this, id] { overdue(id); });
-  push(std::move(request.arrived));
+  if (waits_for_list())
+    waiting_.emplace_back(id, std::move(request.arrived));
+  else
+    push(std::move(request.arrived));
   return id;
 }
 
@@ -131,24 +130,37 @@
   push(ClientGone{std::to_string(id)});
 }
 
-void Driver::told(const MemberList& list, ServerListUpdate::Kind kind) {
-  const auto replaced = upstream_.update(list);
+void Driver::told(MemberList list, ServerListUpdate::Kind kind) {
+  upstream_.take(std::move(list));
+  if (!applying_) apply(kind);
+}
+
+// A slice of what was told, with the loop running before the next: a small list is in force at once. Danger:
+// many thousand changes on end would hold up every request.
+void Driver::apply(ServerListUpdate::Kind kind) {
+  applying_ = false;
   ServerListUpdate update;
   update.kind = kind;
-  for (const Member& m : list.members) {
-    update.entries.push_back(m.entry);
-    if (std::find(replaced.begin(), replaced.end(), m.entry.server) != replaced.end())
-      update.entries.back().state = ServerState::kRemoved;
+  update.entries = upstream_.apply().entries;
+  if (!update.entries.empty()) push(std::move(update));
+  if (!upstream_.settled()) {
+    applying_ = true;
+    asio::post(io_, [this] { apply(); });
+  } else if (!std::exchange(listed_, true)) {
+    release();
   }
-  push(std::move(update));
-  if (replaced.empty()) return;
-  ServerListUpdate gone;
-  gone.kind = ServerListUpdate::Kind::kPartial;
-  for (const std::string& server : replaced) {
-    gone.entries.emplace_back().server = server;
-    gone.entries.back().state = ServerState::kRemoved;
-  }
-  push(std::move(gone));
+  look_ready();
+}
+
+// Danger: while the first list is only partly in force, all of a fleet that was started at once would turn to
+// the same few servers.
+bool Driver::waits_for_list() const {
+  return !listed_ && (applying_ || (known_ && known_->members.size() > Catalog::kSlice));
+}
+
+void Driver::release() {
+  for (auto& [id, arrived] : std::exchange(waiting_, {}))
+    if (requests_.count(id) > 0) push(std::move(arrived));  // else its end has come
 }
 
 void Driver::ended(AttemptKey key, AttemptResult result) {
@@ -375,16 +387,14 @@
 bool Driver::ready() const { return !drained_ && frontend_.is_open() && fit(); }
 
 // Servers are known, by discovery if it answers at all.
-bool Driver::fit() const { return upstream_.any_up() && !known_; }
+bool Driver::fit() const { return upstream_.any_up() && listed_; }
 
 // Danger: what the agent has counts as told from our first moment on, and the list that we were given may
 // name servers that have long been draining. So it is in force only once the agent answers, with its news
 // right behind; without one it must do. What comes meanwhile is held as while no server has room.
 void Driver::believe_known() {
   if (!known_) return;
-  const MemberList known = *std::exchange(known_, std::nullopt);
-  told(known, ServerListUpdate::Kind::kPersisted);
-  look_ready();
+  told(*std::exchange(known_, std::nullopt), ServerListUpdate::Kind::kPersisted);
 }
 
 std::string Driver::figures() const {
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -44,7 +44,7 @@
 
 class Driver {
  public:
-  Driver(boost::asio::io_context& io, const Config& config);
+  Driver(boost::asio::io_context& io, Config config);
 
   boost::asio::ip::tcp::endpoint address() const { return frontend_.address(); }
   // Takes what may change while it runs: the settings, and where discovery and the counter are. The rest
@@ -91,7 +91,10 @@
   std::uint64_t took(std::uint64_t client, ClientRequest request);
   void gone(std::uint64_t id);
   void overdue(std::uint64_t id);
-  void told(const MemberList& list, ServerListUpdate::Kind kind);
+  void told(MemberList list, ServerListUpdate::Kind kind = ServerListUpdate::Kind::kPartial);
+  void apply(ServerListUpdate::Kind kind = ServerListUpdate::Kind::kPartial);
+  bool waits_for_list() const;
+  void release();
   void ended(AttemptKey key, AttemptResult result);
   void settle(Requests::iterator it, AttemptKey key, const AttemptResult& result);
   void written(AttemptKey key);
@@ -139,7 +142,10 @@
   std::uint64_t last_ = 0;
   std::map<std::string, Replies> replies_;  // by class, also of those that the settings no longer name
   std::uint64_t concurrent_ = 0, dispatches_ = 0, reload_success_ = 0, reload_failure_ = 0;
-  std::optional<MemberList> known_;  // the list that we were given, until it is in force
+  std::optional<MemberList> known_;  // the list that we were given, until it is taken
+  bool listed_ = false;              // a list is in force, whole
+  bool applying_ = false;            // the next slice of one is on its way
+  std::vector<std::pair<std::uint64_t, RequestArrived>> waiting_;  // for that, with their numbers
   std::vector<Event> events_;
   bool flushing_ = false;
   std::function<void()> drained_;
