Lists: slices of 2,048 looks, and tests of many servers on connections and in a gateway

Cause: 4,096 looks of a slice at members that turn out to be unchanged took 2.1 ms, the longest slice of a zone of 24,000. Untested: lists of thousands through Upstream and Driver.

Change: half as many looks. Tests: a gateway that knows 5,000 servers is not fit to serve, and sends nothing, until all are in force; requests are answered while 2,900 of 3,000 begin to drain, and these get nothing then; a newer list is not overwritten by an older one's slices; a change costs as much among 170,000 as among 200 (fails by far on walks over all that is listed); bytes a server, and none lost as servers come and go.

--- a/src/net/catalog.hpp
+++ b/src/net/catalog.hpp
@@ -145,7 +145,7 @@
   std::uint64_t address_hash(Slot slot) const;
 
   static constexpr std::size_t kChunk = 256;         // records that are allocated together
-  static constexpr std::size_t kLooks = 8 * kSlice;  // members of a slice that may turn out to be unchanged
+  static constexpr std::size_t kLooks = 4 * kSlice;  // members of a slice that may turn out to be unchanged
   Record& at(Slot slot) { return chunks_[slot / kChunk][slot % kChunk]; }
   const Record& at(Slot slot) const { return chunks_[slot / kChunk][slot % kChunk]; }
 
--- a/tests/net/catalog_test.cpp
+++ b/tests/net/catalog_test.cpp
@@ -2,11 +2,13 @@
 #include "catalog.hpp"
 
 #include <gtest/gtest.h>
+#include <malloc.h>
 #include <time.h>
 
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <numeric>
 #include <random>
 #include <set>
 
@@ -340,28 +342,56 @@
 }
 
 TEST(CatalogCost, NoSliceTakesLong) {
-  // At 170,000 servers: a first whole list, the same again, and a zone of 24,000 that restarts.
+  // Guards against a burst that holds requests up. At 170,000 servers: a first whole list, the same again,
+  // and a zone of 24,000 that restarts. Each has the least of three runs, slice by slice.
+  std::map<std::string, std::vector<double>> least;
+  for (int run = 0; run < 3; ++run) {
+    Catalog c;
+    const auto slices = [&](const char* what, MemberList list) {
+      c.take(std::move(list));
+      std::vector<double>& of = least[what];
+      for (std::size_t i = 0; !c.settled(); ++i) {
+        const double began = cpu_us();
+        c.apply();
+        const double took = cpu_us() - began;
+        if (i == of.size()) of.push_back(took);
+        of[i] = std::min(of[i], took);
+      }
+    };
+    slices("first", whole(many(kWorld)));
+    slices("same", whole(many(kWorld)));
+    auto zone = changes(many(24'000));
+    for (Member& m : zone.members) m.entry.started_at += 1'000'000'000;
+    slices("zone", zone);
+  }
+  for (const auto& [what, us] : least) {
+    const double most = *std::max_element(us.begin(), us.end());
+    std::cerr << what << ": " << us.size() << " slices, longest " << most << " us, all "
+              << std::accumulate(us.begin(), us.end(), 0.0) / 1000 << " ms\n";
+    EXPECT_LT(most, 4'000) << what;
+  }
+}
+
+TEST(CatalogCost, AServerTakesNoMoreMemoryThanItMust) {
+  const auto bytes = [] { return double(::mallinfo2().uordblks + ::mallinfo2().hblkhd); };
+  const double before = bytes();
   Catalog c;
-  const auto slices = [&](const char* what, const MemberList& list) {
-    c.take(list);
-    double most = 0, sum = 0;
-    int count = 0;
-    for (; !c.settled(); ++count) {
-      const double began = cpu_us();
-      c.apply();
-      const double took = cpu_us() - began;
-      most = std::max(most, took);
-      sum += took;
+  take(c, whole(many(kWorld)));
+  const double each = (bytes() - before) / kWorld;
+  std::cerr << each << " bytes a server\n";
+  EXPECT_LT(each, 110);
+  // Nothing is left of what comes and goes.
+  for (int round = 1; round <= 5; ++round) {
+    auto list = many(kWorld / 10);
+    for (Member& m : list) {
+      m.entry.server += char('a' + round);
+      m.entry.started_at += round * kWorld;
+      m.entry.kind = label("m", round);
     }
-    std::cerr << what << ": " << count << " slices, longest " << most << " us, all " << sum / 1000 << " ms\n";
-    return most;
-  };
-  auto list = whole(many(kWorld));
-  EXPECT_LT(slices("first", list), 4'000 * 3);
-  EXPECT_LT(slices("same", list), 4'000 * 3);
-  auto zone = changes(many(24'000));
-  for (Member& m : zone.members) m.entry.started_at += 1'000'000'000;
-  EXPECT_LT(slices("zone", zone), 4'000 * 3);
+    EXPECT_EQ(take(c, changes(std::move(list))).replaced.size(), std::size_t(kWorld / 10));
+  }
+  EXPECT_EQ(c.size(), std::size_t(kWorld));
+  EXPECT_LT((bytes() - before) / kWorld, 1.1 * each);
 }
 
 }  // namespace
--- a/tests/net/driver_test.cpp
+++ b/tests/net/driver_test.cpp
@@ -521,5 +521,106 @@
   EXPECT_TRUE(clients.front().ended());
 }
 
+// Servers that all are one, each at an address of its own: 127.0.0.0/8 leads to this machine.
+class ManyServers : public FakeServer {
+ public:
+  explicit ManyServers(asio::io_context& io) : FakeServer(io, {asio::ip::address_v4::any(), 0}) {}
+  tcp::endpoint at(int place) const {
+    return {asio::ip::address_v4(std::uint32_t(0x7f010000 + place)), address().port()};
+  }
+  Member member(const std::string& id, int place) const {
+    Member m = testing::member(id, *this);
+    m.address = at(place);
+    return m;
+  }
+  std::string entry(const std::string& id, int place, const std::string& phase = "up") const {
+    return testing::entry(id, at(place).address().to_string() + ":" + std::to_string(at(place).port()),
+                          phase);
+  }
+};
+
+class ManyServersTest : public DriverTest {
+ protected:
+  std::uint64_t figure(const std::string& name) {
+    const std::string all = rig.driver->figures(), key = "app." + name + "=";
+    return std::stoull(all.substr(all.find(key) + key.size()));
+  }
+  ManyServers servers{rig.io};
+};
+
+TEST_F(ManyServersTest, AListOfManyIsInForceWholeBeforeAnythingGoesToIt) {
+  // Guards against a fleet that is started at once and turns to the few servers that its list begins with,
+  // and against being fit to serve before that.
+  const int n = 5'000;
+  for (int i = 0; i < n; ++i) rig.know(servers.member(label("n", i), i));
+  rig.discovery.mute = true;
+  rig.start();
+  Client c = rig.client(), gone = rig.client();
+  c.send(get("a"));
+  gone.send(get("b"));
+  gone.socket.close();
+  std::size_t turns = 0;
+  ASSERT_TRUE(rig.until([&] {
+    const auto listed = figure("targets");
+    turns += listed > 0 && listed < std::uint64_t(n);
+    const bool ready = rig.driver->ready();
+    if (listed < std::uint64_t(n)) {
+      EXPECT_FALSE(ready);
+      EXPECT_TRUE(servers.requests.empty());
+    }
+    return ready;
+  }));
+  EXPECT_GE(turns, std::size_t(n) / Catalog::kSlice);  // the loop ran between slices
+  EXPECT_EQ(status(c), 200);
+  EXPECT_EQ(servers.requests.size(), 1u);  // nothing for who has left
+}
+
+TEST_F(ManyServersTest, RequestsAreAnsweredWhileAListOfManyIsPutInForce) {
+  const int n = 3'000;
+  for (int i = 0; i < n; ++i) rig.know(servers.member(label("n", i), i));
+  rig.start();
+  ASSERT_TRUE(rig.until([&] { return rig.driver->ready() && rig.discovery.asked.size() == 1; }));
+  std::string entries;
+  for (int i = 100; i < n; ++i) entries += (i > 100 ? "," : "") + servers.entry(label("n", i), i, "draining");
+  Client c = rig.client();
+  rig.discovery.tell(list(42, false, entries));
+  int meanwhile = 0;
+  for (int i = 0; figure("targets_disabled") < std::uint64_t(n - 100); ++i) {
+    c.send(get(label("t", i)));
+    ASSERT_EQ(status(c), 200);
+    meanwhile += figure("targets_disabled") > 0;
+  }
+  EXPECT_GE(meanwhile, 1);
+  // From here on those that drain get nothing.
+  const auto before = servers.peers.size();
+  for (int i = 0; i < 50; ++i) {
+    c.send(get(label("u", i)));
+    ASSERT_EQ(status(c), 200);
+  }
+  for (auto i = before; i < servers.peers.size(); ++i)
+    EXPECT_LT(servers.peers[i]->socket.local_endpoint().address().to_v4().to_uint(), 0x7f010000u + 100);
+}
+
+TEST_F(ManyServersTest, ANewerListIsNotOverwrittenByTheSlicesOfAnOlderOne) {
+  const int n = 2'000;
+  rig.know(member("s1", s1));
+  rig.start();
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.asked.size() == 1; }));
+  std::string up, drains;
+  for (int i = 0; i < n; ++i) {
+    up += (i > 0 ? "," : "") + servers.entry(label("n", i), i);
+    drains += (i > 0 ? "," : "") + servers.entry(label("n", i), i, "draining");
+  }
+  rig.discovery.tell(list(42, false, up) + list(43, false, drains));
+  ASSERT_TRUE(rig.until([&] { return figure("targets_disabled") == std::uint64_t(n); }));
+  Client c = rig.client();
+  for (int i = 0; i < 50; ++i) {
+    c.send(get(label("t", i)));
+    ASSERT_EQ(status(c), 200);
+  }
+  EXPECT_EQ(s1.requests.size(), 50u);
+  EXPECT_EQ(figure("targets_disabled"), std::uint64_t(n));
+}
+
 }  // namespace
 }  // namespace cottonroad::net::testing
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -2,6 +2,7 @@
 #include "upstream.hpp"
 
 #include <gtest/gtest.h>
+#include <time.h>
 
 #include "loopback.hpp"
 
@@ -373,5 +374,73 @@
   EXPECT_EQ(result(3).outcome, Outcome::kNotSent);
 }
 
+TEST_F(UpstreamTest, AChangeOfAnotherServerCostsAsMuchAmongManyAsAmongFew) {
+  // Guards against walks over all that is listed: 13 ms at 20,000 servers, of the processor's time. The least
+  // of some runs; what else the machine does only adds to it.
+  const auto cpu_us = [] {
+    timespec t;
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+    return double(t.tv_sec) * 1e6 + double(t.tv_nsec) * 1e-3;
+  };
+  const auto change_us = [&](int servers) {
+    make();
+    for (int i = 1; i < servers; ++i) {
+      list.members.push_back(list.members[0]);
+      list.members.back().entry.server = label("other", i);
+      list.members.back().address.address(asio::ip::address_v4(std::uint32_t(0x0a000000 + i)));
+    }
+    upstream->update(list);
+    EXPECT_EQ(upstream->listed(), std::size_t(servers));
+    EXPECT_EQ(result(std::uint64_t(servers)).outcome, Outcome::kOk);
+    MemberList one{0, false, {list.members.back()}};
+    double least = 1e9;
+    for (int run = 0; run < 20; ++run) {
+      one.members[0].entry.started_at = 1 + run;
+      const double began = cpu_us();
+      upstream->update(one);
+      least = std::min(least, cpu_us() - began);
+    }
+    return least;
+  };
+  const double few = change_us(200), many = change_us(170'000);
+  EXPECT_LT(many, 10 * few);
+  EXPECT_LT(many, 1'000);
+}
+
+TEST_F(UpstreamTest, OtherListsLeaveTheConnectionsOfAServerThatStays) {
+  make();
+  ASSERT_EQ(result(1).outcome, Outcome::kOk);
+  FakeServer other(io);
+  list.members.push_back(member("other", other));
+  upstream->update(list);
+  list.complete = false;
+  list.members = {member("third", other)};
+  list.members[0].entry.started_at = 5;
+  EXPECT_EQ(upstream->update(list), std::vector<std::string>{"other"});
+  ASSERT_EQ(result(2).outcome, Outcome::kOk);
+  EXPECT_EQ(server.peers.size(), 1u);
+}
+
+TEST_F(UpstreamTest, AListOfManyIsPutInForceSliceBySlice) {
+  make();
+  ASSERT_EQ(result(1).outcome, Outcome::kOk);
+  MemberList many;
+  for (int i = 0; i < 3'000; ++i) {
+    many.members.push_back(member(label("n", i), server));
+    many.members.back().address.address(asio::ip::address_v4(std::uint32_t(0x0a000000 + i)));
+  }
+  many.members.push_back(list.members[0]);
+  many.members.back().entry.state = ServerState::kDraining;
+  upstream->take(std::move(many));
+  Difference first;
+  while (first.entries.empty() && !upstream->settled()) first = upstream->apply();
+  EXPECT_EQ(first.entries.at(0).server, "s");
+  EXPECT_LE(first.entries.size(), Catalog::kSlice);
+  EXPECT_FALSE(upstream->settled());
+  EXPECT_EQ(result(2).outcome, Outcome::kNotSent);
+  while (!upstream->settled()) upstream->apply();
+  EXPECT_EQ(upstream->listed(), 3'001u);
+}
+
 }  // namespace
 }  // namespace cottonroad::net::testing
