Discovery: lists of any size are parsed as they come, and what fails is asked for seldom

Cause: a list was kept as text until its last bracket, dropped past 4 MiB ("a list has no end") or past 150 ms from its first byte, asked for anew after 60 ms and sent again, 20 times a second, without end.

Change: MemberReader parses each member once its bracket has come and keeps it in a deque (a vector takes twice the memory while it grows); of a list that breaks off or is malformed nothing takes effect. Its time: no pause over 150 ms (1 s where asked for), and each byte earns 2 us, never more than 1 s ahead, so one that trickles is given up at any size. Its size: members up to a sixth of the memory, text up to eight times that, 64 KiB for what is no member and for one member. ListTries says what failed lists may cost: 4 MiB change nothing; past that, or after 8 lists on end that stop or trickle, changes are asked for with after=REVISION at most every 4 s, over a receive buffer so small that a whole list shows its head and is left; lists of up to 64 KiB and of any size have tries whose waits double up to what 400 bytes a second give each. A change that says that it is none whole is read to its end at once. The list is handed on by move.

Not chosen: never trying the revision that failed again; what broke on the way may be whole now, and then nobody would ever take it.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <iostream>
@@ -29,58 +28,23 @@
 constexpr Micros kStoodStill = 30'000;      // us late at our own timer: not the agent is late but we are
 constexpr Micros kTurnedAway = 1'000'000;   // first wait after that, at the most
 constexpr Micros kMostRetryAfter = 30'000'000;  // that is followed
-constexpr std::size_t kMostPending = 4 << 20;   // bytes of one list
-// us from a list's first byte to its last. Danger: what it holds counts as told meanwhile, as above.
+constexpr std::size_t kMostPending = 64 << 10;  // bytes that are no HTTP yet
+constexpr std::size_t kMostAround = 64 << 10;   // bytes of a list that are not its members
+constexpr std::size_t kTextForMemory = 8;       // a member's text, indented, takes four times its memory
+// us without any more of a list, or from its first byte to its last where it is small. Danger: what it holds
+// counts as told meanwhile, as above.
 constexpr Micros kListWithin = 150'000, kAskedListWithin = 1'000'000;
+// Danger: one that trickles is never without more of it, and one of 22 MB can't be there in 150 ms. So each
+// byte earns a list more time, that is half a MB a second, but never more than so much ahead.
+constexpr Micros kMicrosForByte = 2, kMostAhead = 1'000'000;
+constexpr int kPeekBuffer = 1152, kSmallBuffer = 16384, kWideBuffer = 1 << 20;  // bytes that wait for us
 constexpr Micros kLogEvery = 10'000'000;
 
-ServerState parse_state(const std::string& phase) {
-  if (phase == "draining") return ServerState::kDraining;
-  if (phase == "removed") return ServerState::kRemoved;
-  if (phase == "up") return ServerState::kUp;
-  throw std::runtime_error("unknown phase " + phase);
-}
-
 }  // namespace
 
-tcp::endpoint parse_endpoint(const std::string& text) {
-  const auto colon = text.rfind(':');
-  unsigned port = 0;
-  if (colon == std::string::npos) throw std::runtime_error("no port in address '" + text + "'");
-  const char* end = text.data() + text.size();
-  const auto [stop, ec] = std::from_chars(text.data() + colon + 1, end, port);
-  if (ec != std::errc() || stop != end || port > 65535)
-    throw std::runtime_error("bad port in address '" + text + "'");
-  error_code bad;
-  const auto address = asio::ip::make_address(text.substr(0, colon), bad);
-  if (bad) throw std::runtime_error("bad address '" + text + "'");
-  return {address, static_cast<unsigned short>(port)};
-}
-
-MemberList parse_members(const nlohmann::json& list) {
-  MemberList out;
-  out.revision = list.at("revision").get<std::int64_t>();
-  out.complete = list.value("complete", false);
-  for (const auto& m : list.at("members")) {
-    Member member;
-    ServerEntry& e = member.entry;
-    e.server = m.at("id").get<std::string>();
-    e.state = parse_state(m.at("phase").get<std::string>());
-    if (e.state != ServerState::kRemoved || m.contains("host_port"))
-      member.address = parse_endpoint(m.at("host_port").get<std::string>());
-    e.zone = m.value("locality", "");
-    e.kind = m.value("flavor", "");
-    e.cell = m.value("cell", std::int64_t{0});
-    e.weight = m.value("size", 1.0);
-    e.started_at = m.value("up_since_ms", std::int64_t{0}) * 1000;
-    out.members.push_back(std::move(member));
-  }
-  return out;
-}
-
 Discovery::Discovery(asio::io_context& io, Timers& timers, const Clock& clock, tcp::endpoint agent,
                      std::int64_t revision, Told told, std::uint64_t seed, Micros most_wait,
-                     std::function<void()> spoke)
+                     std::function<void()> spoke, ListLimits limits)
     : io_(io),
       timers_(timers),
       clock_(clock),
@@ -90,6 +54,8 @@
       told_(std::move(told)),
       answers_(std::move(spoke)),
       socket_(io),
+      limits_(limits),
+      tries_(limits, seed + 2),
       backoff_(pushed_ ? kFirstPause : kFirstBackoff, pushed_ ? kMostPause : kMostBackoff, seed),
       turned_away_(kTurnedAway, std::max(kTurnedAway, most_wait), seed + 1) {}
 
@@ -98,7 +64,10 @@
 // Danger: another agent may not know our revision; what was told between would be lost. So the whole list.
 void Discovery::move_to(tcp::endpoint agent) {
   agent_ = std::move(agent);
-  whole_ = true;
+  whole_ = moved_ = true;
+  list_.reset();  // what is left of it says nothing of the new agent
+  failed_.reset();
+  tries_.succeeded(true);
   backoff_.reset();
   turned_away_.reset();
   lost("moves to another agent");
@@ -123,22 +92,35 @@
   spoke_ = false;
   watch_quiet(life, heard_);
   pending_.clear();
-  object_.clear();
-  depth_ = 0;
-  quoted_ = escaped_ = false;
+  list_.reset();
   parser_.emplace();
   parser_->eager(true);
   parser_->body_limit(boost::none);  // a watch has no end; each list has one
   socket_ = tcp::socket(io_);
+  error_code failed;
+  socket_.open(agent_.protocol(), failed);
+  if (failed) return lost(failed.message());
+  const std::size_t most = tries_.most(heard_);
+  narrow_ = false;
+  narrow(most == ListTries::kAll ? 0 : most <= limits_.peek ? kPeekBuffer : kSmallBuffer);
   socket_.async_connect(agent_, [this, life](error_code ec) {
     if (life != life_) return;
     ec ? lost(ec.message()) : request(life);
   });
 }
 
+// Danger: what an agent has sent has gone over the wire, read or not, and the system takes megabytes ahead.
+void Discovery::narrow(int buffer) {
+  if (!narrow_ && buffer == 0) return;
+  narrow_ = buffer > 0;
+  error_code ignored;
+  socket_.set_option(asio::socket_base::receive_buffer_size(narrow_ ? buffer : kWideBuffer), ignored);
+}
+
+// Danger: a whole list may be what fails, while changes after the list in force would still come.
 void Discovery::request(int life) {
   request_ = "GET /catalog/members?watch=1";
-  if (!whole_) request_ += "&after=" + std::to_string(revision_);
+  if (!moved_ && (!whole_ || narrow_)) request_ += "&after=" + std::to_string(revision_);
   request_ += " HTTP/1.1\r\nHost: " + agent_.address().to_string() + "\r\n\r\n";
   asio::async_write(socket_, asio::buffer(request_), [this, life](error_code ec, std::size_t) {
     if (life == life_ && ec) lost(ec.message());
@@ -147,13 +129,17 @@
 }
 
 void Discovery::read(int life) {
-  socket_.async_read_some(asio::buffer(chunk_), [this, life](error_code ec, std::size_t size) {
+  const std::size_t most = narrow_ ? std::min(limits_.peek, chunk_.size()) : chunk_.size();
+  socket_.async_read_some(asio::buffer(chunk_, most), [this, life](error_code ec, std::size_t size) {
     if (life != life_) return;
     if (ec) return lost(ec.message());
     heard_ = clock_.now();
     spoke_ = true;
     try {
       took(size);
+    } catch (const TooLarge& e) {
+      whole_ = true;
+      return lost(e.what(), ListTries::Cause::kTooLarge);
     } catch (const std::exception& e) {
       // Danger: what was not understood is a gap; only the whole list closes it.
       whole_ = true;
@@ -184,33 +170,99 @@
   }
   answers_();
   text(std::exchange(parser_->get().body(), {}));
-  if (std::max(object_.size(), pending_.size()) > kMostPending) throw std::runtime_error("a list has no end");
+  if (pending_.size() > kMostPending) throw std::runtime_error("no HTTP");
+  if (list_) came(size);
   if (parser_->is_done()) lost("the watch ended");
 }
 
 // A list is over where its brackets are, not where its line is: it may come indented. An empty line between
 // two is a heartbeat.
-void Discovery::text(const std::string& piece) {
-  for (const char c : piece) {
-    if (object_.empty()) {
-      if (c == '\n') heard();
-      if (std::string_view(" \t\r\n").find(c) != std::string_view::npos) continue;
-      if (c != '{') throw std::runtime_error("no list");
-      timers_.after(pushed_ ? kListWithin : kAskedListWithin, [this, life = life_, begun = ++begun_] {
-        if (life != life_ || begun != begun_ || object_.empty()) return;
-        whole_ = true;
-        lost("a list does not end");
-      });
+void Discovery::text(std::string_view piece) {
+  while (!piece.empty()) {
+    if (!list_) {
+      if (piece[0] == '\n') heard();
+      if (std::string_view(" \t\r\n").find(piece[0]) != std::string_view::npos) {
+        piece.remove_prefix(1);
+        continue;
+      }
+      if (piece[0] != '{') throw std::runtime_error("no list");
+      begin_list();
     }
-    object_ += c;
-    if (quoted_) {
-      if (!std::exchange(escaped_, false)) escaped_ = c == '\\', quoted_ = c != '"';
-      continue;
+    piece.remove_prefix(list_->take(piece));
+    if (list_->done())
+      end_list();
+    else
+      judge();
+  }
+}
+
+void Discovery::begin_list() {
+  list_.emplace(std::vector<std::string>{"members"},
+                ReadLimits{limits_.memory, kTextForMemory * limits_.memory, kMostAround});
+  ++begun_;
+  came_ = 0;
+  most_ = tries_.most(clock_.now());
+  judged_ = false;
+}
+
+// Danger: a list that fails again and again is left as soon as it can be told from one that would not.
+void Discovery::judge() {
+  if (most_ == ListTries::kAll) return;
+  if (const auto head = judged_ ? std::nullopt : list_->head()) {
+    judged_ = true;
+    // What does not say so before its members may be whole.
+    const bool whole = head->complete.value_or(true);
+    if (!whole && (!failed_ || failed_->complete.value_or(true))) {
+      most_ = ListTries::kAll;
+      return narrow(0);
     }
-    quoted_ = c == '"';
-    if (c == '{' || c == '[') ++depth_;
-    if ((c == '}' || c == ']') && --depth_ == 0) object(std::exchange(object_, {}));
+    if (whole && most_ <= limits_.peek && failed_ && failed_->revision == head->revision)
+      throw std::runtime_error("the list that failed");
   }
+  if (list_->bytes() >= most_) throw std::runtime_error("a whole list, so soon after one that failed");
+}
+
+void Discovery::end_list() {
+  heard();
+  MemberList list = list_->list(list_->rest());
+  // Danger: a discovery that has lost its own list would take every server from all gateways at once.
+  if (list.complete && list.members.empty()) throw std::runtime_error("an empty list");
+  list_.reset();
+  narrow(0);
+  revision_ = list.revision;
+  whole_ = false;
+  if (list.complete) moved_ = false;
+  if (list.complete || (failed_ && !failed_->complete.value_or(true))) failed_.reset();
+  tries_.succeeded(list.complete);
+  told_(std::move(list));
+}
+
+Micros Discovery::list_within() const { return pushed_ ? kListWithin : kAskedListWithin; }
+
+// Some of a list that is not over yet.
+void Discovery::came(std::size_t size) {
+  const Micros now = clock_.now();
+  const bool first = came_ == 0;
+  came_ = now;
+  pace_ = std::min((first ? now + list_within() : pace_) + Micros(size) * kMicrosForByte,
+                   now + std::max(kMostAhead, list_within()));
+  if (first) watch_list(life_, begun_, now);
+}
+
+// Danger: as with a quiet watch, only time in which the loop ran counts.
+void Discovery::watch_list(int life, int begun, Micros due) {
+  if (life != life_ || begun != begun_ || !list_) return;
+  const Micros now = clock_.now();
+  if (now - due > kStoodStill) {
+    came_ = std::max(came_, now - list_within() + kStoodStill);
+    pace_ = std::max(pace_, now + kStoodStill);
+  }
+  const Micros next = std::min(came_ + list_within(), pace_);
+  if (now >= next) {
+    whole_ = true;
+    return lost("a list does not end", ListTries::Cause::kUnended);
+  }
+  timers_.at(next, [this, life, begun, next] { watch_list(life, begun, next); });
 }
 
 void Discovery::heard() {
@@ -220,27 +272,43 @@
   lost_at_ = 0;
 }
 
-void Discovery::object(const std::string& text) {
-  heard();
-  const MemberList list = parse_members(nlohmann::json::parse(text));
-  // Danger: a discovery that has lost its own list would take every server from all gateways at once.
-  if (list.complete && list.members.empty()) throw std::runtime_error("an empty list");
-  revision_ = list.revision;
-  whole_ = false;
-  told_(list);
+// Returns how long to wait before the next is asked for.
+Micros Discovery::give_up_list(const std::string& why, ListTries::Cause cause) {
+  const Micros now = clock_.now();
+  const std::size_t bytes = list_->bytes(), members = list_->members();
+  if (most_ > limits_.peek) {
+    try {
+      failed_ = list_->head().value_or(MemberReader::Head{});
+    } catch (const std::exception&) {
+      failed_.emplace();
+    }
+  }
+  list_.reset();
+  tries_.failed(bytes, most_, cause, now);
+  const Micros wait = tries_.faulty() ? tries_.wait(now) : backoff_.next();
+  if (most_ > limits_.peek && tries_.faulty()) {
+    logged_ = now;
+    std::cerr << "discovery: a list is given up after " << bytes << " bytes and " << members
+              << " members: " << why << "; the list of revision " << revision_
+              << " stays in force, changes are asked for in " << wait / 1000 << " ms\n";
+  }
+  return wait;
 }
 
-void Discovery::lost(const std::string& why) {
+void Discovery::lost(const std::string& why, ListTries::Cause cause) {
   error_code ignored;
   socket_.close(ignored);
   const int life = ++life_;
   const Micros now = clock_.now();
+  const Micros wait = refused_ > 0 ? std::exchange(refused_, 0)
+                      : list_      ? give_up_list(why, cause)
+                                   : backoff_.next();
   if (now - logged_ > kLogEvery) {
     logged_ = now;
     std::cerr << "discovery: " << why << "; watching again from " << revision_ << '\n';
   }
   if (lost_at_ == 0) lost_at_ = now;
-  timers_.after(refused_ > 0 ? std::exchange(refused_, 0) : backoff_.next(), [this, life] {
+  timers_.after(wait, [this, life] {
     if (life == life_) connect();
   });
 }
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -6,40 +6,27 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
-#include <vector>
+#include <string_view>
 
 #include "cottonroad/gateway.hpp"
+#include "list_tries.hpp"
+#include "members.hpp"
 #include "timers.hpp"
 
 namespace cottonroad::net {
 
-struct Member {
-  ServerEntry entry;
-  boost::asio::ip::tcp::endpoint address;  // port 0: not told
-};
-struct MemberList {
-  std::int64_t revision = 0;
-  bool complete = false;  // else only what changed
-  std::vector<Member> members;
-};
-
-// Throws std::exception on a list of the wrong shape.
-MemberList parse_members(const nlohmann::json& list);
-boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& text);
-
 class Discovery {
  public:
-  using Told = std::function<void(const MemberList&)>;
+  using Told = std::function<void(MemberList)>;
   // `spoke` comes first: the agent answers, whether it has news or not. `most_wait`: between two calls where
   // lists are asked for and discovery turns us away; 0: lists are pushed, and an agent beside us answers at
-  // once and at no cost.
+  // once and at no cost. `limits`: what a list may take, and what those that come to nothing may cost.
   Discovery(
       boost::asio::io_context& io, Timers& timers, const Clock& clock, boost::asio::ip::tcp::endpoint agent,
       std::int64_t revision, Told told, std::uint64_t seed = 0, Micros most_wait = 0,
-      std::function<void()> spoke = [] {});
+      std::function<void()> spoke = [] {}, ListLimits limits = {});
   void start();
   // Watches another agent from now on; what the old one told stands until the new one has told its list.
   void move_to(boost::asio::ip::tcp::endpoint agent);
@@ -50,10 +37,17 @@
   void request(int life);
   void read(int life);
   void took(std::size_t size);
-  void text(const std::string& piece);
+  void text(std::string_view piece);
   void heard();
-  void object(const std::string& text);
-  void lost(const std::string& why);
+  void begin_list();
+  void judge();
+  void end_list();
+  void came(std::size_t size);
+  Micros list_within() const;
+  void watch_list(int life, int begun, Micros due);
+  void narrow(int buffer);
+  void lost(const std::string& why, ListTries::Cause cause = ListTries::Cause::kBroken);
+  Micros give_up_list(const std::string& why, ListTries::Cause cause);
   Micros patience() const;
   void watch_quiet(int life, Micros due);
 
@@ -64,17 +58,23 @@
   const bool pushed_;
   std::int64_t revision_;
   bool whole_ = false;  // ask for the whole list next
+  bool moved_ = false;  // the agent may not know our revision
   Told told_;
   std::function<void()> answers_;
   boost::asio::ip::tcp::socket socket_;
   std::optional<Parser> parser_;
   std::array<char, 16384> chunk_;
   std::string pending_, request_;
-  std::string object_;  // the list that is coming; with line ends in it where it comes indented
-  int depth_ = 0;       // of brackets that are open in it
-  bool quoted_ = false, escaped_ = false;
-  int begun_ = 0;  // lists, so far
-  int life_ = 0;   // of the connection; handlers of earlier ones mean nothing
+  const ListLimits limits_;
+  ListTries tries_;
+  std::optional<MemberReader> list_;          // that is coming
+  std::size_t most_ = 0;                      // bytes of it that may be read
+  bool judged_ = false;                       // it is known what it is
+  std::optional<MemberReader::Head> failed_;  // of the last list that failed
+  Micros came_ = 0, pace_ = 0;                // when some of it last came; by when more of it must have come
+  int begun_ = 0;                             // lists, so far
+  bool narrow_ = false;                       // little of what this connection brings may be read
+  int life_ = 0;                              // of the connection; handlers of earlier ones mean nothing
   Micros heard_ = 0;
   bool spoke_ = false;   // some of an answer has come on this connection
   Backoff backoff_;      // after a watch that broke or never came up: a matter of this gateway
--- /dev/null
+++ b/tests/net/bytes_sent.cpp
@@ -0,0 +1,17 @@
+// On its own: the system's header knows more than the library's, and they don't go together.
+#include "bytes_sent.hpp"
+
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+namespace cottonroad::net::testing {
+
+std::uint64_t bytes_sent(int socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
+  return info.tcpi_bytes_sent;
+}
+
+}  // namespace cottonroad::net::testing
