Scale tests: heartbeats of the agent stay near their 2 s when it is busy

Cause: its looks drifted by what each took, and a line was due from 1.8 s on: 1,850 watchers got 1,086 lines a second for 925. Change: looks at fixed moments, due within half a look of the 2 s.

--- a/scale/standins.cpp
+++ b/scale/standins.cpp
@@ -459,13 +459,15 @@
            std::to_string(text.size()) + "\r\n\r\n" + text);
 }
 
-// Looks several times in each period, so that the gap between two lines stays at it.
+// Looks several times in each period, so that the gap between two lines stays near it, half a look to each
+// side.
 void DiscoveryAgent::beat() {
   constexpr int kLooks = 10;
-  timer_.expires_after(std::chrono::microseconds(options_.heartbeat / kLooks));
+  timer_.expires_at(std::max(std::chrono::steady_clock::now(),
+                             timer_.expiry() + std::chrono::microseconds(options_.heartbeat / kLooks)));
   timer_.async_wait([this](error_code ec) {
     if (ec) return;
-    const Micros due = steady_now() - options_.heartbeat + options_.heartbeat / kLooks;
+    const Micros due = steady_now() - options_.heartbeat + options_.heartbeat / kLooks / 2;
     if (!silent_)
       for (const auto& link : links_) {
         auto& c = static_cast<Connection&>(*link);
