--- a/scale/hollow.cpp
+++ b/scale/hollow.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
 #include <charconv>
 #include <chrono>
@@ -36,6 +37,25 @@
 constexpr double kListBytes = 150;       // of a server on the wire
 constexpr double kTenantBytes = 1e3;     // of a tenant at a gateway
 
+constexpr std::array kSums = {&FleetState::requests,     &FleetState::attempts,        &FleetState::served,
+                              &FleetState::refused,      &FleetState::failed,          &FleetState::calls,
+                              &FleetState::lists,        &FleetState::calls_not_added, &FleetState::changes,
+                              &FleetState::calls_unknown};
+
+// Adds `from`, or with -1 takes it off.
+void add(Traffic& to, const Traffic& from, int sign) {
+  for (const auto member : {&Traffic::sent, &Traffic::received, &Traffic::writes})
+    to.*member += std::uint64_t(sign) * from.*member;
+}
+void add(DiscoveryAgent::Counts& to, const DiscoveryAgent::Counts& from, int sign) {
+  using Counts = DiscoveryAgent::Counts;
+  add(to.traffic, from.traffic, sign);
+  for (const auto member :
+       {&Counts::asks, &Counts::lists, &Counts::differences, &Counts::changes, &Counts::heartbeats,
+        &Counts::connections, &Counts::turned_away, &Counts::too_slow})
+    to.*member += std::uint64_t(sign) * from.*member;
+}
+
 // The number in an id that server_id() made.
 std::size_t server_number(const std::string& id) {
   std::size_t number = 0;
@@ -97,16 +117,7 @@
     s.least_revision = std::min(s.least_revision, revision_);
     s.longest_first_list = std::max(s.longest_first_list, first_list_);
     s.last_right_at = std::max(s.last_right_at, right_at_);
-    s.requests += sums_.requests;
-    s.attempts += sums_.attempts;
-    s.served += sums_.served;
-    s.refused += sums_.refused;
-    s.failed += sums_.failed;
-    s.calls += sums_.calls;
-    s.calls_not_added += sums_.calls_not_added;
-    s.calls_unknown += sums_.calls_unknown;
-    s.lists += sums_.lists;
-    s.changes += sums_.changes;
+    for (const auto member : kSums) s.*member += sums_.*member;
     s.module_cpu += sums_.module_cpu;
   }
   std::int64_t revision() const { return revision_; }
@@ -511,18 +522,9 @@
   s.at = steady_now();
   for (std::size_t i = 0; i < agents_.size(); ++i) {
     const auto c = at_agent(i, [](DiscoveryAgent& agent) { return agent.counts(); });
-    auto& sum = s.discovery;
-    sum.traffic.sent += c.traffic.sent;
-    sum.traffic.received += c.traffic.received;
-    sum.traffic.writes += c.traffic.writes;
-    sum.asks += c.asks;
-    for (const auto& [second, asks] : c.asks_by_second) sum.asks_by_second[second] += asks;
-    sum.lists += c.lists;
-    sum.differences += c.differences;
-    sum.changes += c.changes;
-    sum.heartbeats += c.heartbeats;
-    sum.connections += c.connections;
-    sum.watchers += c.watchers;
+    add(s.discovery, c, 1);
+    for (const auto& [second, asks] : c.asks_by_second) s.discovery.asks_by_second[second] += asks;
+    s.discovery.watchers += c.watchers;
     s.agents_cpu += agents_[i].first->cpu();
   }
   if (counter_) {
@@ -544,16 +546,8 @@
   s.counter_cpu -= before.counter_cpu;
   s.gateways_cpu -= before.gateways_cpu;
   s.module_cpu -= before.module_cpu;
-  s.discovery.traffic.sent -= before.discovery.traffic.sent;
-  s.discovery.traffic.received -= before.discovery.traffic.received;
-  s.discovery.asks -= before.discovery.asks;
-  s.discovery.lists -= before.discovery.lists;
-  s.discovery.differences -= before.discovery.differences;
-  s.discovery.changes -= before.discovery.changes;
-  s.discovery.heartbeats -= before.discovery.heartbeats;
-  s.discovery.connections -= before.discovery.connections;
-  s.counting.traffic.sent -= before.counting.traffic.sent;
-  s.counting.traffic.received -= before.counting.traffic.received;
+  add(s.discovery, before.discovery, -1);
+  add(s.counting.traffic, before.counting.traffic, -1);
   s.counting.calls -= before.counting.calls;
   return s;
 }
--- a/tests/scale/world_test.cpp
+++ b/tests/scale/world_test.cpp
@@ -247,8 +247,10 @@
   tcp::socket socket(io);
   socket.connect(server->address());
   const auto call = [](std::vector<std::string> words) {
-    std::string out = "*" + std::to_string(words.size()) + "\r\n";
-    for (const auto& w : words) out += "$" + std::to_string(w.size()) + "\r\n" + w + "\r\n";
+    std::string out("*");
+    out.append(std::to_string(words.size())).append("\r\n");
+    for (const auto& w : words)
+      out.append("$").append(std::to_string(w.size())).append("\r\n").append(w).append("\r\n");
     return out;
   };
   asio::write(socket,
