Scale tests: hollow gateways keep the list as the gateway does, in slices

Cause: the gateway's side of the list is a catalog that is fed in slices now; a hollow one that hands whole lists to the module would measure a program that is gone. Change: told and applied as in the driver; a list is in force once its last slice has been handled.

--- a/scale/hollow.cpp
+++ b/scale/hollow.cpp
@@ -17,6 +17,7 @@
 #include <thread>
 #include <unordered_map>
 
+#include "catalog.hpp"
 #include "counter.hpp"
 #include "timers.hpp"
 
@@ -111,7 +112,7 @@
   }
 
   void add_to(FleetState& s) const {
-    s.with_list += listed_ > 0;
+    s.with_list += first_list_ > 0 && catalog_.up() > 0;
     s.right += right_at_ > 0;
     s.were_without += was_without_;
     s.least_revision = std::min(s.least_revision, revision_);
@@ -145,29 +146,37 @@
   }
 
   void told(const net::MemberList& list, ServerListUpdate::Kind kind) {
+    told_revision_ = list.revision;
+    catalog_.take(list);
+    if (!applying_) apply(kind);
+  }
+
+  // Slice by slice, as net::Driver does.
+  void apply(ServerListUpdate::Kind kind) {
     ServerListUpdate update;
     update.kind = kind;
-    for (const net::Member& m : list.members) update.entries.push_back(m.entry);
-    told_revision_ = list.revision;
-    if (list.complete) up_.assign(up_.size(), false), listed_ = 0;
+    update.entries = catalog_.apply().entries;
     for (const ServerEntry& e : update.entries) {
       const std::size_t number = server_number(e.server);
       if (number >= up_.size()) up_.resize(number + 1);
-      const bool up = e.state == ServerState::kUp;
-      listed_ += std::size_t(up) - std::size_t(up_[number]);
-      up_[number] = up;
+      up_[number] = e.state == ServerState::kUp;
     }
-    ++(list.complete ? sums_.lists : sums_.changes);
-    push(std::move(update));
+    applying_ = !catalog_.settled();
+    if (!update.entries.empty())
+      push(std::move(update));
+    else if (!applying_)
+      in_force();  // nothing was new
+    if (applying_) asio::post(io_, [this] { apply(ServerListUpdate::Kind::kPartial); });
   }
 
-  // Once the module has it.
+  // Once the module has all of it.
   void in_force() {
-    if (told_revision_ == revision_) return;
+    if (applying_ || told_revision_ == revision_) return;
     revision_ = told_revision_;
     in_force_at_ = steady_now();
-    if (listed_ > 0 && first_list_ == 0) first_list_ = std::max<Micros>(1, in_force_at_ - started_);
-    if (listed_ == 0 && first_list_ > 0) was_without_ = true;
+    const std::size_t up = catalog_.up();
+    if (up > 0 && first_list_ == 0) first_list_ = std::max<Micros>(1, in_force_at_ - started_);
+    if (up == 0 && first_list_ > 0) was_without_ = true;
     look_right();
   }
 
@@ -183,7 +192,7 @@
     const double wait = std::exponential_distribution<>(rate_)(random_);
     timers_.after(Micros(wait * 1e6), [this, life] {
       if (life != load_) return;
-      arrive();
+      if (first_list_ > 0) arrive();  // until then the driver holds them back
       next_arrival(life);
     });
   }
@@ -284,8 +293,9 @@
   net::Timers timers_;
   Gateway gateway_;
   std::shared_ptr<const net::MemberList> known_;
+  net::Catalog catalog_;
+  bool applying_ = false;
   std::vector<bool> up_;  // by number
-  std::size_t listed_ = 0;
   std::shared_ptr<const std::vector<bool>> expected_;
   const Micros started_;
   Micros first_list_ = 0, right_at_ = 0, in_force_at_ = 0;
