--- a/src/policy/servers.hpp
+++ b/src/policy/servers.hpp
@@ -362,17 +362,12 @@
   int ejected_ = 0, on_trial_ = 0;                    // of the listed ones
   std::deque<std::pair<Micros, Server*>> ejections_;  // by their end
   Draws<Server> draws_;
-  Micros forget_after_ = kKnownFor;
-  double limit_ = 0, norm_ = 0, slow_norm_ = 0, base_ = 0;
-  int answers_ = 0;
+  double limit_ = 0, norm_ = 0, slow_norm_ = 0, base_ = 0, peer_rate_ = 0;
   double failing_ = kFailsLeast;  // part of all our attempts that fail; fading mean
-  Micros cut_at_ = 0;
-  double peer_rate_ = 0;
-  int out_ = 0, processes_ = 1;
-  int ejections_untold_ = 0;
+  int answers_ = 0, out_ = 0, processes_ = 1, ejections_untold_ = 0;
   Ends ends_;
   double room_ = 1;  // attempt-seconds
-  Micros room_at_ = 0;
+  Micros room_at_ = 0, cut_at_ = 0, forget_after_ = kKnownFor;
 };
 
 }  // namespace cottonroad::policy
