Servers: fewer words for what is kept of a part

Change, decisions as before: a part that goes once round ends just before its start, so that no flag is needed; the sharers of a server are reckoned where they are asked for; ejections are counted with the ends of attempts.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -394,7 +394,7 @@
   }
   void forget(const Request& r) {
     if (!r.done || r.out > 0 || r.held) return;
-    for (const Attempt& a : r.attempts) servers_.release(*a.server);
+    for (const Attempt& a : r.attempts) --a.server->named;
     requests_.erase(requests_.find(r.id));
   }
 
--- a/src/policy/servers.hpp
+++ b/src/policy/servers.hpp
@@ -94,7 +94,7 @@
   void update(Micros now, const ServerListUpdate& update) {
     list_.update(update, [&](const List::Change& c) {
       start_.moved(c.place, c.came);
-      if (part_is_all_ || c.place - start_.place() <= part_end_ - start_.place()) stale_ = true;
+      if (c.place - start_.place() <= part_end_ - start_.place()) stale_ = true;
       if (!c.used) return;
       c.used->used_at = now;
       if (c.restarted) {  // a new process: what was known of the old one is void
@@ -112,10 +112,8 @@
   // stretches begin at even distances, neighbours' far apart, and go on until enough of theirs is fit.
   const std::vector<Server*>& part(Micros now) {
     for (; !ejections_.empty() && ejections_.front().first <= now; ejections_.pop_front())
-      if (Server& s = *ejections_.front().second; s.ejected && s.ejected_until <= now) {
-        s.ejected = false;
+      if (Server& s = *ejections_.front().second; s.ejected_until <= now && std::exchange(s.ejected, false))
         recount(s);
-      }
     if (!stale_ && now < warm_at_) return part_;
     stale_ = false;
     enough_ = part_size(list_, settings_);
@@ -133,9 +131,7 @@
       if (!s.ejected && !s.on_trial) fit += warm;
       return fit < enough_;
     });
-    part_end_ = part_.empty() ? 0 : part_.back()->place;
-    part_is_all_ = part_.size() == list_.up();
-    sharers_ = settings_.gateways * double(part_.size()) / std::max(1.0, double(list_.up()));
+    part_end_ = part_.size() < list_.up() ? part_.back()->place : start_.place() - 1;  // once round
     warm_at_ = cold ? now + kWarmEvery * Micros(part_.size()) : std::numeric_limits<Micros>::max();
     return part_;
   }
@@ -153,10 +149,12 @@
     const double warm = warmth(now, s);
     if (warm >= 1) return true;
     // Where our part is less than one request, requests are so much further apart.
-    const double window = double(settings_.cold_window), n = sharers_ * processes_;
+    const double window = double(settings_.cold_window);
+    const double sharers =
+        settings_.gateways * processes_ * double(part_.size()) / double(std::max<std::size_t>(1, list_.up()));
     const double budget =
         kColdSafety * settings_.cold_multiple * warm * peer_rate_ * weight(s) * window / kSecond / processes_;
-    const double span = window * std::clamp(work / std::max(budget, 1e-9), 1.0, n);
+    const double span = window * std::clamp(work / std::max(budget, 1e-9), 1.0, sharers);
     const double spent = s.cold_sends.within(now, span);
     return s.cold_sends.empty() || spent + work <= budget;
   }
@@ -204,8 +202,6 @@
     s.carried += work;
     if (warmth(now, s) < 1) s.cold_sends.add(now, work);
   }
-  // A request is over whose attempt went there.
-  void release(Server& s) { --s.named; }
 
   // So many attempts more are with a server, from the last byte of their requests to their end.
   void occupy(Micros now, Server& s, int attempts) {
@@ -263,8 +259,7 @@
   std::string state(Micros now) {
     part(now);
     return join("out ", out_, " of ", even(), ", answers ", norm_, " idle ", base_, ", ejected ", ejected_,
-                " of ", list_.size(), ", ", std::exchange(ejections_untold_, 0),
-                " times, ended:", std::exchange(ends_, {}).text());
+                " of ", list_.size(), ", ", std::exchange(ends_, {}).text());
   }
 
   double even() const {
@@ -308,7 +303,7 @@
     failing_ = std::min(kBadFails, failing_ + kFailingGain * (1 - failing_));
     s.odds += std::log(kBadFails / std::max(kFailsLeast, failing_));
     if ((s.odds < kEjectOdds && !s.on_trial) || s.ejected_until > now) return false;
-    ++ejections_untold_;
+    ends_.add_ejection();
     s.ejected_until = now + kEjectFor;
     s.ejected = s.on_trial = true;
     recount(s);
@@ -354,11 +349,10 @@
   RankMark start_;
   std::vector<Server*> part_;
   std::uint64_t part_end_ = 0;  // place of its last one
-  bool part_is_all_ = true, stale_ = true;
+  bool stale_ = true;
   double enough_ = 0;                                 // fit servers that `part_` was made with
   double weights_ = 0;                                // of those there that are not ejected, by their warmth
   Micros warm_at_ = 0;                                // when it is looked at anew because cold ones warm up
-  double sharers_ = 1;                                // gateways that use a server
   int ejected_ = 0, on_trial_ = 0;                    // of the listed ones
   std::deque<std::pair<Micros, Server*>> ejections_;  // by their end
   Draws<Server> draws_;
@@ -369,7 +363,6 @@
   Micros cut_at_ = 0;
   double peer_rate_ = 0;
   int out_ = 0, processes_ = 1;
-  int ejections_untold_ = 0;
   Ends ends_;
   double room_ = 1;  // attempt-seconds
   Micros room_at_ = 0;
--- a/tests/servers_test.cpp
+++ b/tests/servers_test.cpp
@@ -597,7 +597,7 @@
   ASSERT_EQ(s->entry.server, cold.server);
   ASSERT_TRUE(module.cold_covers(kS, *s, 0.02));
   module.sent(kS, *s, 0.02);
-  module.release(*s);
+  --s->named;
   settings.position += 300;
   module.settings_changed();
   for (int second = 2; second < 200; ++second) {
