Driver: a first list that is pushed is in force whole as well before we are fit to serve

Cause: with no list in the configuration the empty one counted as the first, so that a gateway was fit to serve, and sent requests on, once the first slice of a long pushed list was in force.

Change: only a list that names servers counts as the first. Tested with 3,000 servers, known and pushed.

--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -66,7 +66,7 @@
                    if (const auto it = requests_.find(id); it != requests_.end())
                      upstream_.resume({id, int(it->second.attempts.size()) - 1});
                  },
-                 [this] { return listed_; }}),
+                 [this] { return !known_ && !partly_listed(); }}),
       succession_(io, timers_, config.folder, config.name, config.listen, [this] { met(); }),
       connections_(most_connections(config)) {
   count_at(config.counter);
@@ -146,7 +146,8 @@
   if (!upstream_.settled()) {
     applying_ = true;
     asio::post(io_, [this] { apply(); });
-  } else if (!std::exchange(listed_, true)) {
+  } else {
+    listed_ = listed_ || upstream_.listed() > 0;
     release();
   }
   look_ready();
@@ -154,8 +155,9 @@
 
 // Danger: while the first list is only partly in force, all of a fleet that was started at once would turn to
 // the same few servers.
+bool Driver::partly_listed() const { return applying_ && !listed_; }
 bool Driver::waits_for_list() const {
-  return !listed_ && (applying_ || (known_ && known_->members.size() > Catalog::kSlice));
+  return partly_listed() || (known_ && known_->members.size() > Catalog::kSlice);
 }
 
 void Driver::release() {
@@ -387,7 +389,7 @@
 bool Driver::ready() const { return !drained_ && frontend_.is_open() && fit(); }
 
 // Servers are known, by discovery if it answers at all.
-bool Driver::fit() const { return upstream_.any_up() && listed_; }
+bool Driver::fit() const { return upstream_.any_up() && !known_ && !partly_listed(); }
 
 // Danger: what the agent has counts as told from our first moment on, and the list that we were given may
 // name servers that have long been draining. So it is in force only once the agent answers, with its news
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -93,6 +93,7 @@
   void overdue(std::uint64_t id);
   void told(MemberList list, ServerListUpdate::Kind kind = ServerListUpdate::Kind::kPartial);
   void apply(ServerListUpdate::Kind kind = ServerListUpdate::Kind::kPartial);
+  bool partly_listed() const;
   bool waits_for_list() const;
   void release();
   void ended(AttemptKey key, AttemptResult result);
@@ -143,7 +144,7 @@
   std::map<std::string, Replies> replies_;  // by class, also of those that the settings no longer name
   std::uint64_t concurrent_ = 0, dispatches_ = 0, reload_success_ = 0, reload_failure_ = 0;
   std::optional<MemberList> known_;  // the list that we were given, until it is taken
-  bool listed_ = false;              // a list is in force, whole
+  bool listed_ = false;              // a list that names servers has been in force, whole
   bool applying_ = false;            // the next slice of one is on its way
   std::vector<std::pair<std::uint64_t, RequestArrived>> waiting_;  // for that, with their numbers
   std::vector<Event> events_;
--- a/tests/net/driver_test.cpp
+++ b/tests/net/driver_test.cpp
@@ -575,6 +575,27 @@
   EXPECT_EQ(servers.requests.size(), 1u);  // nothing for who has left
 }
 
+TEST_F(ManyServersTest, AFirstListOfManyThatIsPushedIsInForceWholeBeforeWeAreFitToServe) {
+  const int n = 3'000;
+  std::string entries;
+  for (int i = 0; i < n; ++i) entries += (i > 0 ? "," : "") + servers.entry(label("n", i), i);
+  rig.discovery.first = list(43, true, entries);
+  rig.start();
+  std::size_t turns = 0;
+  std::optional<Client> c;
+  ASSERT_TRUE(rig.until([&] {
+    const auto listed = figure("targets");
+    if (listed == 0 || listed == std::uint64_t(n)) return rig.driver->ready();
+    if (turns++ == 0) c.emplace(rig.client()).send(get("a"));
+    EXPECT_FALSE(rig.driver->ready());
+    EXPECT_TRUE(servers.requests.empty());
+    return false;
+  }));
+  EXPECT_GE(turns, std::size_t(n) / Catalog::kSlice - 1);
+  ASSERT_TRUE(c);
+  EXPECT_EQ(status(*c), 200);
+}
+
 TEST_F(ManyServersTest, RequestsAreAnsweredWhileAListOfManyIsPutInForce) {
   const int n = 3'000;
   for (int i = 0; i < n; ++i) rig.know(servers.member(label("n", i), i));
