--- a/src/net/catalog.cpp
+++ b/src/net/catalog.cpp
@@ -274,10 +274,10 @@
 }
 
 bool Catalog::same(const Record& r, const Member& m) const {
-  const ServerEntry& e = m.entry;
+  const auto& e = m.entry;
   const auto state = r.draining ? ServerState::kDraining : ServerState::kUp;
   return state == e.state && r.started_at == e.started_at && r.cell == e.cell && r.weight == e.weight &&
-         is_at(r, m.address) && names_.at(r.zone) == e.zone && names_.at(r.kind) == e.kind;
+         is_at(r, m.address) && names_.at(r.zone) == e.zone;
 }
 
 std::uint64_t Catalog::id_hash(Slot slot) const { return hash_id(at(slot).id); }
@@ -298,7 +298,6 @@
   r.used = true;
   r.id = m.entry.server;
   r.zone = names_.acquire(m.entry.zone);
-  r.kind = names_.acquire(m.entry.kind);
   by_id_.insert(id_hash(slot), slot, [this](Slot s) { return id_hash(s); });
   if (m.address.port() != 0) put_address(slot, m.address);
   set(r, m, sequence);
@@ -314,10 +313,9 @@
     drop_address(slot);
     put_address(slot, m.address);
   }
-  // The new ones first: what is released may be all that keeps them.
-  const auto zone = names_.acquire(m.entry.zone), kind = names_.acquire(m.entry.kind);
+  // The new one first: what is released may be all that keeps it.
+  const auto zone = names_.acquire(m.entry.zone);
   names_.release(std::exchange(r.zone, zone));
-  names_.release(std::exchange(r.kind, kind));
   up_ -= r.up;
   set(r, m, sequence);
   difference_.entries.push_back(m.entry);
@@ -340,7 +338,6 @@
   ServerEntry& gone = difference_.entries.emplace_back();
   gone.server = r.id;
   gone.zone = names_.at(r.zone);
-  gone.kind = names_.at(r.kind);
   gone.cell = r.cell;
   gone.weight = r.weight;
   gone.started_at = r.started_at;
@@ -349,7 +346,6 @@
   by_id_.erase(id_hash(slot), slot, [this](Slot s) { return id_hash(s); });
   drop_address(slot);
   names_.release(r.zone);
-  names_.release(r.kind);
   up_ -= r.up;
   --size_;
   r = Record();
--- a/src/net/catalog.hpp
+++ b/src/net/catalog.hpp
@@ -1,5 +1,6 @@
-// The servers in force, compact, and the lists that are on their way into it. A list is taken in slices, so
-// that the loop runs between them; each slice tells what has changed and nothing else.
+// The servers in force, compact, without the kind that nothing reads, and the lists that are on their way
+// into it. A list is taken in slices, so that the loop runs between them; each slice tells what has changed
+// and nothing else.
 #pragma once
 
 #include <array>
@@ -98,16 +99,16 @@
     std::int64_t cell = 0;
     double weight = 1;
     Micros started_at = 0;
-    std::uint32_t zone = 0, kind = 0;
+    std::uint32_t zone = 0;
     Sequence told = 0;       // by which list, last
     std::uint32_t host = 0;  // as in Host
     std::uint16_t port = 0;  // 0: no address was told
-    bool named = false;      // the host is
-    bool used = false;
-    bool up = false;  // and its address told
-    bool draining = false;
+    bool named : 1 = false;  // the host is
+    bool used : 1 = false;
+    bool up : 1 = false;  // and its address told
+    bool draining : 1 = false;
   };
-  static_assert(sizeof(Record) <= 80, "at 170,000 servers each byte counts");
+  static_assert(sizeof(Record) <= 72, "at 170,000 servers each byte counts");
   struct Pending {
     MemberList list;
     Sequence sequence = 0;
