--- a/scale/measure.hpp
+++ b/scale/measure.hpp
@@ -5,9 +5,15 @@
 #include <chrono>
 #include <cmath>
 #include <cstddef>
+#include <cstdint>
 #include <ctime>
+#include <initializer_list>
+#include <map>
+#include <string>
+#include <utility>
 #include <vector>
 
+#include "report.hpp"
 #include "scenario.hpp"
 
 namespace cottonroad::scale {
@@ -62,4 +68,26 @@
   return sizes;
 }
 
+inline std::vector<std::size_t> server_sizes(const Options& o) {
+  if (o.servers > 0) return sizes_up_to(o.servers);
+  if (o.small) return {20, 200, 1'000, 3'000};
+  return {200, 2'000, 20'000, Target{}.servers};
+}
+
+// An estimate of memory; one that is beyond all machines stays a number.
+inline std::uint64_t bytes(double estimate) { return std::uint64_t(std::min(estimate, 1e18)); }
+
+// What one scenario adds its figures with.
+struct Teller {
+  Report& report;
+  std::string scenario;
+  void add(const std::string& name, std::map<std::string, double> at, double value, const char* unit) {
+    report.add({scenario, name, std::move(at), value, unit});
+  }
+  void note(const std::string& text) { report.note(scenario, text); }
+  void fit(std::initializer_list<const char*> names, const std::string& by, std::size_t target) {
+    for (const char* name : names) report.fit(scenario, name, by, double(target));
+  }
+};
+
 }  // namespace cottonroad::scale
--- a/scale/module_slopes.cpp
+++ b/scale/module_slopes.cpp
@@ -29,8 +29,6 @@
 
 std::string label(const char* prefix, std::size_t n) { return prefix + std::to_string(n); }
 
-std::uint64_t bytes(double estimate) { return std::uint64_t(std::min(estimate, 1e18)); }
-
 // In use by this process's heap.
 double heap_mb() {
   const struct mallinfo2 info = ::mallinfo2();
@@ -205,11 +203,6 @@
 }
 
 // ---- Sizes ----------------------------------------------------------------------------------------------
-std::vector<std::size_t> server_sizes(const Options& o) {
-  if (o.servers > 0) return sizes_up_to(o.servers);
-  if (o.small) return {20, 200, 1'000, 3'000};
-  return {200, 2'000, 20'000, Target{}.servers};
-}
 std::vector<std::size_t> gateway_sizes(const Options& o) {
   if (o.gateways > 0) return {o.gateways};
   return {kFewGateways, Target{}.gateways};
@@ -233,18 +226,6 @@
   return bench;
 }
 
-// What one scenario adds its figures with.
-struct Teller {
-  Report& report;
-  std::string scenario;
-  void add(const std::string& name, std::map<std::string, double> at, double value, const char* unit) {
-    report.add({scenario, name, std::move(at), value, unit});
-  }
-  void fit(std::initializer_list<const char*> names, const std::string& by, std::size_t target) {
-    for (const char* name : names) report.fit(scenario, name, by, double(target));
-  }
-};
-
 // ---- Scenarios ------------------------------------------------------------------------------------------
 // Full: twice what the servers' part here bears, at the target's rate at least, so that requests are held.
 // Idle: half of that part at the most.
@@ -292,11 +273,9 @@
            100.0 * double(bench.held() - held) / double(std::max<std::size_t>(1, arrivals.size())), "%");
   if (!full) tell.add("look", at, median(bench.looks()), "us");
   if (arrivals.size() < 100 || !settled)
-    tell.report.note(tell.scenario, "at " + std::to_string(servers) + " servers, " +
-                                        std::to_string(gateways) + " gateways, " + (full ? "full" : "idle") +
-                                        ": the time was up after " + std::to_string(arrivals.size()) +
-                                        " requests" +
-                                        (settled ? "" : ", before as many were held as would be"));
+    tell.note("at " + std::to_string(servers) + " servers, " + std::to_string(gateways) + " gateways, " +
+              (full ? "full" : "idle") + ": the time was up after " + std::to_string(arrivals.size()) +
+              " requests" + (settled ? "" : ", before as many were held as would be"));
 }
 
 void requests(const Options& o, Report& report) {
