--- a/scale/hollow.cpp
+++ b/scale/hollow.cpp
@@ -636,7 +636,6 @@
     net::Member m;
     m.entry.server = s.id;
     m.entry.zone = s.locality;
-    m.entry.kind = s.flavor;
     m.entry.cell = s.cell;
     m.entry.state = s.phase == Phase::kUp ? ServerState::kUp : ServerState::kDraining;
     m.entry.weight = s.size;
