Servers: an ejection keeps what its end looks at

Cause: the module forgets what it keeps of a server a minute after its last use, and an answer that is cut after that may eject it just before; the list of ejections then pointed to what was gone (heap-use-after-free in Servers::part, seen by the sanitizer).

Change: an ejection counts as a use. It lasts 3 s, what is used is kept for a minute at the least.

Result: the new test passes, and fails without the change under the address sanitizer; the plain build may not notice.

--- a/src/policy/servers.hpp
+++ b/src/policy/servers.hpp
@@ -304,6 +304,7 @@
     s.odds += std::log(kBadFails / std::max(kFailsLeast, failing_));
     if ((s.odds < kEjectOdds && !s.on_trial) || s.ejected_until > now) return false;
     ends_.add_ejection();
+    s.used_at = now;  // danger: its end must find it
     s.ejected_until = now + kEjectFor;
     s.ejected = s.on_trial = true;
     recount(s);
--- a/tests/servers_test.cpp
+++ b/tests/servers_test.cpp
@@ -656,5 +656,29 @@
   for (const Action& a : actions) EXPECT_FALSE(std::holds_alternative<SendAttempt>(a));
 }
 
+TEST(ServersRules, AnAnswerThatIsCutLateEjectsNoServerThatIsThenForgotten) {
+  // A minute after the last use of a server. Guards against an ejection that ends when what was kept of its
+  // server is gone; the sanitized build sees it.
+  Gateway gateway(settings_of(1), 1);
+  std::vector<Action> actions;
+  gateway.handle(0, {ServerListUpdate{ServerListUpdate::Kind::kComplete, entries(0, 3)}}, actions);
+  const std::string server = entries(0, 1)[0].server;
+  ServerEntry gone;
+  gone.server = server;
+  gone.state = ServerState::kRemoved;
+  gateway.handle(2 * kMs, {TimerFired{0}}, actions);  // a look, so that all three are used
+  gateway.handle(3 * kMs, {changes({gone})}, actions);
+  for (int second = 1; second < 64; ++second) gateway.handle(second * kS, {TimerFired{0}}, actions);
+  actions.clear();
+  gateway.handle(63 * kS + 500 * kMs, {AnswerCut{server}, AnswerCut{server}, AnswerCut{server}}, actions);
+  const auto told = [&](const Action& a) {
+    const auto* line = std::get_if<LogLine>(&a);
+    return line && line->text.find("ejected") != std::string::npos;
+  };
+  ASSERT_TRUE(std::any_of(actions.begin(), actions.end(), told));
+  for (int second = 64; second < 70; ++second) gateway.handle(second * kS, {TimerFired{0}}, actions);
+  EXPECT_EQ(gateway.avoided(), 0);
+}
+
 }  // namespace
 }  // namespace cottonroad
