Quota: a customer met seldom draws each request on a shared pool of its quota

Cause: through hundreds of gateways each meets a customer once in 10 s or more. The total that came with a request was used for the next one there, 10 s later or never, and it told what was asked, not what was sent on. Shares of demand and what they save up let through up to twice a quota; a quarter of the units were beyond.

Change: where an even part of a quota fills less than a tenth of the largest request in a period, a gateway adds the request to a pool of the customer's quota on the counter, one for each window of a burst over the rate, and waits for that answer; what lies within the pool is its own. The draws of all double as the measure of demand: past half as much again as the quota only part of the requests draw, the others are refused at once. With no call to spare, slices serve as before, but not for who is known to be past the quota. With a silent counter all is as before.

Ruled out: counts over all gateways (trials) show beyond units at totals of every age, the youngest too; more totals do not help.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -50,8 +50,9 @@
   Micros arrived = 0, hold_until = 0, give_up = 0;  // no answer after the last earns anything
   bool over = false;                                // beyond the quota as far as we know
   bool body_follows = false, done = false, held = false;
-  double Customer::*taken_from = nullptr;  // its units; null: they are not taken
-  bool waits = false;                      // for the first total of its customer
+  double* taken_from = nullptr;  // its units; null: they are not taken
+  bool waits = false;            // for the counter
+  bool tried = false;            // to draw on the quota
   int out = 0;
   std::vector<Attempt> attempts;
 };
@@ -142,9 +143,11 @@
   }
   void on(const CounterAnswered& e) {
     slices_.pace(now_, e);
-    Customer* drawn = ceilings_.answered(now_, e);
-    Customer* counted = drawn ? nullptr : slices_.answered(now_, e);
-    if (drawn) decide_all(drawn->at_ceiling);
+    const auto d = draws_.answered(now_, e);
+    if (d.counts && d.pool.drawn == &Customer::of_quota)
+      slices_.drew(now_, *d.owner, e.total, std::max(d.pool.since(now_, *d.owner), d.pool.length / 2));
+    Customer* counted = d.owner ? nullptr : slices_.answered(now_, e);
+    if (d.owner) decide_all((d.owner->*d.pool.drawn).waiting);
     if (counted) decide_all(counted->waiting);
     if (e.outcome != CountOutcome::kOk) log("counter", "no answer or refused; totals are held");
   }
@@ -231,14 +234,31 @@
     Customer& c = *r.customer;
     const PlanSettings& plan = *c.plan;
     slices_.advance(now_, c);
-    const bool within = slices_.covers(c, r.quota_units) && (plan.max_open <= 0 || c.open < plan.max_open);
     // A plan that earns more beyond its quota than it costs is let through while servers have room.
     const bool excess = plan.over_worth > plan.over_cost && servers_.pressure(now_) < kRelaxed;
+    const auto may_call = [this] { return slices_.spare_call(now_, 1); };
+    bool within = slices_.covers(c, r.quota_units);
+    double* from = nullptr;
+    if (slices_.thin(c)) {
+      const auto pool = quota_pool(plan);
+      const bool drained = pool.drained(now_, c), first = std::exchange(r.tried, true) == false;
+      within = slices_.passes_undrawn(c, r.units);
+      if (pool.reserved(now_, c) >= r.units)
+        within = true, from = &c.of_quota.reserved;
+      else if (drained || (first && !excess && !slices_.may_draw(c)))
+        within = false;
+      else if (first && !excess && may_wait(r) &&
+               draws_.draw(
+                   now_, c, pool, r.units, [this] { return slices_.spare_call(now_, 0); }, *out_))
+        return wait(r, c.of_quota.waiting);
+    }
+    within = within && (plan.max_open <= 0 || c.open < plan.max_open);
     const bool under_ceiling = ceilings_.covers(now_, c, r.units);
-    const auto may_call = [this] { return slices_.spare_call(now_); };
-    if ((within || excess) && !under_ceiling && may_wait(r) &&
-        ceilings_.draw(now_, c, r.units, may_call, *out_))
-      return wait(r, c.at_ceiling);
+    if ((within || excess) && !under_ceiling && may_wait(r) && settings_.has_counter) {
+      const double ahead = std::max(r.units, std::min(c.own, c.rate) * kDrawAhead);
+      if (draws_.draw(now_, c, ceiling_pool(plan), ahead, may_call, *out_))
+        return wait(r, c.of_ceiling.waiting);
+    }
     if (!under_ceiling || (!within && !excess)) {
       if (within) ++refusals_.sliced;
       ++(under_ceiling ? refusals_.slice : refusals_.ceiling);
@@ -250,7 +270,7 @@
       return close(r);
     }
     r.over = !within;
-    if (within) r.taken_from = slices_.take(c, r.quota_units);
+    if (within) r.taken_from = slices_.take(c, r.quota_units, from);
     // Danger: room grows with time, and who comes first after that would take it from dearer ones that wait.
     const bool in_line = within && !held_.empty();
     if (!in_line && send(r)) return;
@@ -442,6 +462,7 @@
   const std::uint64_t seed_;
   QuotaSlices slices_;
   Ceilings ceilings_;
+  Draws<Customer> draws_;
   Servers servers_;
   std::unordered_map<std::string, Request> requests_;  // looked up by id, never walked
   std::unordered_map<std::int64_t, std::pair<std::string, int>> timers_;
--- a/src/policy/quota.hpp
+++ b/src/policy/quota.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "support/numbers.hpp"
+#include "support/pools.hpp"
 #include "support/report.hpp"
 
 namespace cottonroad::policy {
@@ -27,6 +28,9 @@
 constexpr double kKnownWeight = 0.25;   // of a request of a known customer, for the need of a call
 constexpr double kFresh = 0.25;         // of whole quotas: names hold less while a counter is new
 constexpr double kFreshKeep = 0.95;     // of that evidence, a total
+constexpr double kThin = 0.1;           // of the largest request, an even part of the quota in a period
+constexpr double kDrawAim = 1.5;        // of the quota, what all draw where more is asked
+constexpr double kPassLeast = 0.02;     // of a customer's requests
 constexpr double kCreditMost = 2;       // requests that a slice past the quota may save up for
 constexpr double kOpenSpread = 0.85;    // deviations that the mean stays under an open cap
 constexpr double kOpenLeast = 0.3;      // of an open cap, that mean at the least
@@ -68,12 +72,9 @@
   std::vector<std::string> waiting;  // requests that wait for the first total
   double ceiling = 0;                // units left of our even part of the ceiling
   Micros ceiling_at = 0;
-  double reserved = 0;  // units drawn from the ceiling's shared part, good in `window` alone
-  std::int64_t window = 0;
-  bool drained = false;                 // nothing is left there in `window`
-  bool reserving = false;               // a draw is on its way
-  std::vector<std::string> at_ceiling;  // requests that wait for it
-  int open = 0;                         // attempts out
+  Drawn of_ceiling, of_quota;
+  double pass = 1, turn = 0;  // of its requests, those that may draw on the quota; and what adds up to one
+  int open = 0;               // attempts out
 };
 
 class QuotaSlices {
@@ -147,21 +148,45 @@
     ++c.asks;
   }
 
+  // Danger: through hundreds of gateways each meets a customer once in 10 s or more, and a slice by a total
+  // as old as that says nothing of this moment. So few units to an even part are drawn, one request at a
+  // time.
+  bool thin(const Customer& c) const {
+    return settings_.has_counter && c.plan->rate > 0 &&
+           c.plan->rate * double(kPeriod) / kSecond < kThin * settings_.largest_units * c.set_size;
+  }
+  // Past the quota only so many draw that their draws add up to a little more than it.
+  bool may_draw(Customer& c) {
+    if (c.of_quota.window == 0) c.turn = uniform(random_);
+    c.turn += c.pass;
+    return c.turn >= 1 && (c.turn -= 1, true);
+  }
+  // What all drew in a window up to now tells how much is asked.
+  void drew(Micros now, Customer& c, double total, double seconds) {
+    advance(now, c);
+    const double asked = total / seconds;
+    c.others = std::max(0.0, asked / c.pass - c.own);
+    c.pass = std::clamp(c.pass * kDrawAim * c.rate / asked, kPassLeast, 1.0);
+    c.store = std::clamp(burst(c) - total, 0.0, burst(c));
+    c.part = fraction(c) * c.store;
+    c.read_at = now;
+  }
+
   // Is this request within the slice? One larger than the whole store passes when that is full.
   bool covers(const Customer& c, double units) const {
     return c.rate <= 0 || std::max(in_store(c), c.credit) >= std::min(units, depth(c)) - 1e-9;
   }
   // What it is taken from, to be given back there.
-  double Customer::*take(Customer& c, double units) {
+  double* take(Customer& c, double units, double* from = nullptr) const {
     const bool stored = in_store(c) >= std::min(units, depth(c)) - 1e-9;
-    const auto from = stored ? &Customer::store : &Customer::credit;
+    if (!from) from = stored ? &c.store : &c.credit;
     give_back(c, from, -units);
     return from;
   }
-  void give_back(Customer& c, double Customer::*to, double units) const {
+  void give_back(Customer& c, double* to, double units) const {
     if (c.rate <= 0) return;
-    c.*to += units;
-    if (to == &Customer::store) c.part += units;
+    *to += units;
+    if (to == &c.store) c.part += units;
   }
 
   // Our fraction of the whole: own demand and an even part of the room; past the quota our share of demand.
@@ -185,7 +210,7 @@
   // Hands own demand to the counter if a call is due, and tells whether a first total is on its way.
   bool call(Micros now, const std::string& who, Customer& c, std::vector<Action>& out) {
     const bool known = c.read_at > 0;
-    if (!settings_.has_counter || c.rate <= 0 || c.uncounted <= 0) return false;
+    if (!settings_.has_counter || c.rate <= 0 || c.uncounted <= 0 || thin(c)) return false;
     if (!known && c.calling > 0) return !silent();
     const double most = refill(now);
     // The fewer calls are to spare, the more requests must one carry, or customers met now and then would use
@@ -221,7 +246,7 @@
       auto here = it++;
       advance(now, here->second);
       if (now - here->second.last_use > kKnownFor && here->second.open == 0 && here->second.calling == 0 &&
-          !here->second.reserving)
+          !here->second.of_ceiling.drawing && !here->second.of_quota.drawing)
         customers_.erase(here);
       else
         call(now, here->first, here->second, out);
@@ -260,14 +285,20 @@
 
   bool silent() const { return in_a_row_ >= kDownAfter; }
 
-  bool spare_call(Micros now) {
+  // `ahead`: s of the calls to come that may be used up, for a ceiling has to be held first.
+  bool spare_call(Micros now, double ahead) {
     if (!settings_.has_counter || silent()) return false;
     refill(now);
-    if (calls_ < 1 - call_rate_) return false;
+    if (calls_ < 1 - ahead * call_rate_) return false;
     calls_ -= 1;
     return true;
   }
 
+  // With no call to spare. Danger: with what others draw, slices past the quota came to twice as much.
+  bool passes_undrawn(const Customer& c, double units) const {
+    return covers(c, units) && (silent() || c.read_at <= 0 || c.own + c.others <= c.rate);
+  }
+
   // The counter answered or failed to. Returns the customer it was about.
   Customer* answered(Micros now, const CounterAnswered& a) {
     const auto call = pending_.extract(a.name);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+#include <cstdio>
 #include <functional>
 #include <map>
 #include <set>
@@ -597,6 +599,124 @@
   std::map<std::int64_t, double> totals_;
 };
 
+// Customers of one plan, each through all of so many gateways, on one counter that serves calls in turn, so
+// many a second, and answers within a millisecond more; a call that waited for the time-out was added,
+// unanswered. Each customer asks `times` its quota, by chance in time, size and gateway. Servers answer at
+// once.
+class SpreadQuota {
+ public:
+  struct Result {
+    double beyond = 0;     // units sent on beyond the quotas, of those sent on
+    double with_room = 0;  // units refused while the customer's store held them, of those asked
+    double inside = 0;     // units sent on inside the quotas, of what the quotas allow or was asked
+    double calls = 0;      // a request
+  };
+  SpreadQuota(int gateways, double times, double calls_a_request) : times_(times), service_(calls_a_request) {
+    Settings s = counted_settings();
+    s.plans[0].rate = kRate;
+    s.plans[0].burst = kBurst;
+    s.largest_units = 4;
+    s.gateways = gateways;
+    s.counter_timeout = 30 * kMs;
+    for (int i = 0; i < gateways; ++i)
+      gateways_.emplace_back(s, Driver::up({"a", "b", "c", "d"}), std::uint64_t(i + 1));
+    stores_.assign(kCustomers, {kBurst, kStart});
+  }
+  Result play() {
+    const double gap = 2 / (kRate * times_ * kCustomers);  // s between requests of two units on average
+    service_ = gap / service_;
+    const Micros end = kStart + 10 * kS;
+    for (double at = 0; kStart + Micros(at * kS) < end; at -= std::log(1 - chance()) * gap) {
+      const Micros now = kStart + Micros(at * kS);
+      answer_until(now);
+      const int customer = int(chance() * kCustomers);
+      RequestArrived r = Driver::request(label("r", ++asked_), now, 1 + std::floor(chance() * 3));
+      r.customer = label("c", customer);
+      r.set_size = int(gateways_.size());
+      open_[r.id] = {customer, r.units};
+      units_ += r.units;
+      // A skewed choice: some gateways see several times the mean.
+      const auto i = std::size_t(std::pow(chance(), 1.5) * double(gateways_.size()));
+      act(i, now, gateways_[i].run(now));
+      act(i, now, gateways_[i].step(now, {r}));
+    }
+    answer_until(end);
+    const double allowed = std::min(units_, kCustomers * (kRate * 10 + kBurst));
+    return {beyond_ / (beyond_ + inside_), with_room_ / units_, inside_ / allowed, double(calls_) / asked_};
+  }
+
+ private:
+  static constexpr double kRate = 10, kBurst = 18;
+  static constexpr int kCustomers = 60;
+  static constexpr Micros kStart = 1000 * kS;
+  struct Store {
+    double units = 0;
+    Micros at = 0;
+  };
+  double chance() {
+    random_ = random_ * 6364136223846793005ULL + 1442695040888963407ULL;
+    return double(random_ >> 11) * 0x1p-53;
+  }
+  void answer_until(Micros until) {
+    while (!answers_.empty() && answers_.begin()->first <= until) {
+      const auto [at, answer] = *answers_.begin();
+      answers_.erase(answers_.begin());
+      act(answer.first, at, gateways_[answer.first].step(at, {answer.second}));
+    }
+  }
+  void act(std::size_t i, Micros now, const std::vector<Action>& actions) {
+    for (const Refuse& a : all<Refuse>(actions)) judge(now, a.id, false);
+    for (const SendAttempt& a : all<SendAttempt>(actions)) {
+      judge(now, a.id, true);
+      act(i, now, gateways_[i].end(now, a, Outcome::kOk));
+    }
+    for (const AddToCounter& a : all<AddToCounter>(actions)) {
+      ++calls_;
+      free_at_ = std::max(free_at_, double(now)) + service_ * kS;
+      const Micros took = Micros(free_at_) - now + kMs / 2;
+      const bool late = took > 30 * kMs;
+      CounterAnswered answer{a.name, totals_[a.name] += a.amount, CountOutcome::kOk, took};
+      if (late) answer = {a.name, 0, CountOutcome::kUnknown, 30 * kMs};
+      answers_.emplace(now + answer.duration, std::pair(i, answer));
+    }
+  }
+  void judge(Micros now, const std::string& id, bool sent) {
+    const auto [customer, units] = open_.at(id);
+    Store& s = stores_[std::size_t(customer)];
+    s.units = std::min(kBurst, s.units + kRate * double(now - std::exchange(s.at, now)) / kS);
+    const bool room = s.units >= units;
+    if (sent && room) s.units -= units;
+    (sent ? room ? inside_ : beyond_ : room ? with_room_ : nothing_) += units;
+  }
+  double times_, service_;
+  std::vector<Driver> gateways_;
+  std::vector<Store> stores_;
+  std::map<std::string, std::pair<int, double>> open_;
+  std::map<std::int64_t, double> totals_;
+  std::multimap<Micros, std::pair<std::size_t, CounterAnswered>> answers_;
+  std::uint64_t random_ = 1;
+  double free_at_ = 0, units_ = 0, inside_ = 0, beyond_ = 0, with_room_ = 0, nothing_ = 0;
+  int asked_ = 0, calls_ = 0;
+};
+
+TEST(QuotaSlices, HundredsOfGatewaysRaiseTheErrorOfAQuotaNoFurther) {
+  std::printf(
+      "gateways  asked / quota  beyond / sent  refused with room / asked  inside / allowed  calls a "
+      "request\n");
+  for (const double times : {0.7, 2.0, 4.0}) {
+    double ten = 0;
+    for (const int gateways : {3, 10, 30, 100, 300}) {
+      const auto r = SpreadQuota(gateways, times, 1.2).play();
+      std::printf("%8d %14.1f %14.3f %26.3f %17.3f %16.2f\n", gateways, times, r.beyond, r.with_room,
+                  r.inside, r.calls);
+      if (gateways == 10) ten = r.beyond;
+      if (gateways <= 10) continue;
+      EXPECT_LE(r.beyond, ten + 0.01) << gateways << " gateways, asked " << times << " times the quota";
+      EXPECT_GE(r.inside, 0.85) << gateways << " gateways, asked " << times << " times the quota";
+    }
+  }
+}
+
 // Under a ceiling of 20 units a second and 40 at once. Each gateway is asked every 50 ms for as many units as
 // `asks` says; what a store of the ceiling's size fell to at the least, and what was sent.
 struct Ceiled {
