--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -50,9 +50,8 @@
   Micros arrived = 0, hold_until = 0, give_up = 0;  // no answer after the last earns anything
   bool over = false;                                // beyond the quota as far as we know
   bool body_follows = false, done = false, held = false;
-  double* taken_from = nullptr;  // its units; null: they are not taken
-  bool waits = false;            // for the counter
-  bool tried = false;            // to draw on the quota
+  double* taken_from = nullptr;       // its units; null: they are not taken
+  bool waits = false, tried = false;  // for the counter; to draw on the quota
   int out = 0;
   std::vector<Attempt> attempts;
 };
@@ -241,16 +240,13 @@
     double* from = nullptr;
     if (slices_.thin(c)) {
       const auto pool = quota_pool(plan);
-      const bool drained = pool.drained(now_, c), first = std::exchange(r.tried, true) == false;
-      within = slices_.passes_undrawn(c, r.units);
-      if (pool.reserved(now_, c) >= r.units)
-        within = true, from = &c.of_quota.reserved;
-      else if (drained || (first && !excess && !slices_.may_draw(c)))
-        within = false;
-      else if (first && !excess && may_wait(r) &&
-               draws_.draw(
-                   now_, c, pool, r.units, [this] { return slices_.spare_call(now_, 0); }, *out_))
+      const auto spare = [this] { return slices_.spare_call(now_, 0); };
+      const bool first = !std::exchange(r.tried, true) && !excess;
+      if (pool.reserved(now_, c) >= r.units) from = &c.of_quota.reserved;
+      const bool shut = !from && (pool.drained(now_, c) || (first && !slices_.may_draw(c)));
+      if (!from && !shut && first && may_wait(r) && draws_.draw(now_, c, pool, r.units, spare, *out_))
         return wait(r, c.of_quota.waiting);
+      within = from || (!shut && slices_.passes_undrawn(c, r.units));
     }
     within = within && (plan.max_open <= 0 || c.open < plan.max_open);
     const bool under_ceiling = ceilings_.covers(now_, c, r.units);
--- a/src/policy/quota.hpp
+++ b/src/policy/quota.hpp
@@ -52,21 +52,19 @@
   std::uint64_t key = 0;
   int set_size = 1;
   double rate = 0;  // of the quota: units, or attempt-seconds under an open cap, a second
-  Micros last_use = 0, called_at = 0;
-  Micros at = 0;         // up to when own demand has faded and the store has filled
-  double own = 0;        // units a second asked here, refused requests included; fading mean
-  double others = 0;     // units a second asked elsewhere, as last measured
-  double store = 0;      // units the customer has left, as far as this gateway can tell
-  double part = 0;       // units of it that are ours to spend until the next total
-  double drawn = 0;      // units that others are taken to have drawn from it since the last total
-  double credit = 0;     // units of our slice not yet spent, while the whole store is empty
-  double uncounted = 0;  // units asked here that no call has carried yet
-  int asks = 0;          // requests that they came in
+  Micros last_use = 0, called_at = 0, at = 0;  // the last: own demand faded and the store filled up to then
+  double own = 0;     // units a second asked here, refused requests included; fading mean
+  double others = 0;  // units a second asked elsewhere, as last measured
+  double store = 0;   // units the customer has left, as far as this gateway can tell
+  double part = 0;    // units of it that are ours to spend until the next total
+  double drawn = 0;   // units that others are taken to have drawn from it since the last total
   double last_units = 0;
-  Micros read_at = 0;      // last believed total; 0: none
-  std::int64_t epoch = 0;  // the counter name that `seen` belongs to
-  double seen = 0;         // its total when last read
-  Micros seen_at = 0;
+  double credit = 0;                 // units of our slice not yet spent, while the whole store is empty
+  double uncounted = 0;              // units asked here that no call has carried yet
+  int asks = 0;                      // requests that they came in
+  Micros read_at = 0, seen_at = 0;   // last believed total, 0: none; and last read of the name
+  std::int64_t epoch = 0;            // the counter name that `seen` belongs to
+  double seen = 0;                   // its total when last read
   double added = 0;                  // units that our own calls have added since
   int calling = 0;                   // calls on their way
   std::vector<std::string> waiting;  // requests that wait for the first total
