--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -34,31 +34,27 @@
 
 // A class as it was when its requests came, and what its answers tell.
 struct Class : ClassSettings {
-  double mean = 0;         // us; its answer time
-  int answers = 0;         // that it is the mean of
-  double usual_units = 0;  // mean
+  double mean = 0, usual_units = 0;  // us, its answer time; units of a request, a mean
+  int answers = 0;                   // that the first is the mean of
 };
 
 struct Request {
   std::string id;
   std::shared_ptr<Class> cls;
-  int most_attempts = 1;
+  int most_attempts = 1, out = 0;
   Customer* customer = nullptr;
   double units = 1, quota_units = 1;  // the latter of the quota: units, or attempt-seconds under an open cap
-  double expected = 0;                // us; its answer time, by its class and units
-  double value = 1;                   // worth a unit of expected work: who goes first when servers are full
+  double expected = 0, value = 1;     // us, its answer time; worth a unit of that work: who goes first
   Micros arrived = 0, hold_until = 0, give_up = 0;  // no answer after the last earns anything
   bool over = false;                                // beyond the quota as far as we know
   bool body_follows = false, done = false, held = false;
   double* taken_from = nullptr;       // its units; null: they are not taken
   bool waits = false, tried = false;  // for the counter; to draw on the quota
-  int out = 0;
   std::vector<Attempt> attempts;
 };
 
 }  // namespace
 
-// ---- 4. Attempts --------------------------------------------------------------------------------------
 class Gateway::Impl {
  public:
   Impl(Settings settings, std::uint64_t seed)
@@ -137,12 +133,12 @@
     for (const ClassSettings& c : settings_.classes) {
       const auto was = before.find(c.name);
       const Class told = was != before.end() ? *was->second : Class{};
-      classes_[c.name] = std::make_shared<Class>(Class{c, told.mean, told.answers, told.usual_units});
+      classes_[c.name] = std::make_shared<Class>(Class{c, told.mean, told.usual_units, told.answers});
     }
   }
   void on(const CounterAnswered& e) {
     slices_.pace(now_, e);
-    const auto d = draws_.answered(now_, e);
+    const auto d = pools_.answered(now_, e);
     if (d.counts && d.pool.drawn == &Customer::of_quota)
       slices_.drew(now_, *d.owner, e.total, std::max(d.pool.since(now_, *d.owner), d.pool.length / 2));
     Customer* counted = d.owner ? nullptr : slices_.answered(now_, e);
@@ -235,16 +231,17 @@
     slices_.advance(now_, c);
     // A plan that earns more beyond its quota than it costs is let through while servers have room.
     const bool excess = plan.over_worth > plan.over_cost && servers_.pressure(now_) < kRelaxed;
-    const auto may_call = [this] { return slices_.spare_call(now_, 1); };
+    const auto spare = [this](int ahead) {
+      return [this, ahead] { return slices_.spare_call(now_, ahead); };
+    };
     bool within = slices_.covers(c, r.quota_units);
     double* from = nullptr;
     if (slices_.thin(c)) {
       const auto pool = quota_pool(plan);
-      const auto spare = [this] { return slices_.spare_call(now_, 0); };
       const bool first = !std::exchange(r.tried, true) && !excess;
       if (pool.reserved(now_, c) >= r.units) from = &c.of_quota.reserved;
       const bool shut = !from && (pool.drained(now_, c) || (first && !slices_.may_draw(c)));
-      if (!from && !shut && first && may_wait(r) && draws_.draw(now_, c, pool, r.units, spare, *out_))
+      if (!from && !shut && first && may_wait(r) && pools_.draw(now_, c, pool, r.units, spare(0), *out_))
         return wait(r, c.of_quota.waiting);
       within = from || (!shut && slices_.passes_undrawn(c, r.units));
     }
@@ -252,7 +249,7 @@
     const bool under_ceiling = ceilings_.covers(now_, c, r.units);
     if ((within || excess) && !under_ceiling && may_wait(r) && settings_.has_counter) {
       const double ahead = std::max(r.units, std::min(c.own, c.rate) * kDrawAhead);
-      if (draws_.draw(now_, c, ceiling_pool(plan), ahead, may_call, *out_))
+      if (pools_.draw(now_, c, ceiling_pool(plan), ahead, spare(1), *out_))
         return wait(r, c.of_ceiling.waiting);
     }
     if (!under_ceiling || (!within && !excess)) {
@@ -414,7 +411,6 @@
     requests_.erase(requests_.find(r.id));
   }
 
-  // ---- 5. Overload ------------------------------------------------------------------------------------
   // A request inside its quota that finds the servers full waits here for a part of its aim, dear ones first.
   void hold(Request& r) {
     r.held = true;
@@ -460,7 +456,7 @@
   const std::uint64_t seed_;
   QuotaSlices slices_;
   Ceilings ceilings_;
-  Draws<Customer> draws_;
+  PoolLedger<Customer> pools_;
   Servers servers_;
   std::unordered_map<std::string, Request> requests_;  // looked up by id, never walked
   std::unordered_map<std::int64_t, std::pair<std::string, int>> timers_;
--- a/src/policy/quota.hpp
+++ b/src/policy/quota.hpp
@@ -50,29 +50,24 @@
 struct Customer {
   const PlanSettings* plan = nullptr;
   std::uint64_t key = 0;
-  int set_size = 1;
-  double rate = 0;  // of the quota: units, or attempt-seconds under an open cap, a second
-  Micros last_use = 0, called_at = 0, at = 0;  // the last: own demand faded and the store filled up to then
-  double own = 0;     // units a second asked here, refused requests included; fading mean
-  double others = 0;  // units a second asked elsewhere, as last measured
-  double store = 0;   // units the customer has left, as far as this gateway can tell
-  double part = 0;    // units of it that are ours to spend until the next total
-  double drawn = 0;   // units that others are taken to have drawn from it since the last total
-  double last_units = 0;
-  double credit = 0;                 // units of our slice not yet spent, while the whole store is empty
-  double uncounted = 0;              // units asked here that no call has carried yet
-  int asks = 0;                      // requests that they came in
-  Micros read_at = 0, seen_at = 0;   // last believed total, 0: none; and last read of the name
-  std::int64_t epoch = 0;            // the counter name that `seen` belongs to
-  double seen = 0;                   // its total when last read
-  double added = 0;                  // units that our own calls have added since
-  int calling = 0;                   // calls on their way
-  std::vector<std::string> waiting;  // requests that wait for the first total
-  double ceiling = 0;                // units left of our even part of the ceiling
-  Micros ceiling_at = 0;
+  int set_size = 1, open = 0;  // gateways it comes through; attempts out
+  int asks = 0, calling = 0;   // requests that no call has carried yet; calls on their way
+  double rate = 0;             // of the quota: units, or attempt-seconds under an open cap, a second
+  Micros last_use = 0, called_at = 0;
+  Micros at = 0, ceiling_at = 0;  // up to when demand has faded and the store, or our part, has filled
+  double own = 0, others = 0;     // units a second asked: here, refused ones too, fading mean; elsewhere
+  double store = 0;               // units the customer has left, as far as this gateway can tell
+  double part = 0;                // units of it that are ours to spend until the next total
+  double drawn = 0;               // units that others are taken to have drawn from it since the last total
+  double credit = 0;              // units of our slice not yet spent, while the whole store is empty
+  double uncounted = 0, last_units = 0;  // units asked here that no call has carried yet; in the last request
+  Micros read_at = 0, seen_at = 0;       // last believed total, 0: none; and last read of the name
+  std::int64_t epoch = 0;                // the counter name that `seen` belongs to
+  double seen = 0, added = 0;            // its total when last read; what our own calls have added since
+  std::vector<std::string> waiting;      // requests that wait for the first total
+  double ceiling = 0;                    // units left of our even part of the ceiling
   Drawn of_ceiling, of_quota;
   double pass = 1, turn = 0;  // of its requests, those that may draw on the quota; and what adds up to one
-  int open = 0;               // attempts out
 };
 
 class QuotaSlices {
@@ -231,8 +226,7 @@
     const auto name = std::int64_t(mix(c.key ^ mix(std::uint64_t(epoch))) >> 2);
     pending_[name] = {who, c.uncounted};
     out.push_back(AddToCounter{name, c.uncounted, 2 * kEpoch});
-    c.uncounted = 0;
-    c.asks = 0;
+    c.uncounted = c.asks = 0;
     c.called_at = now;
     ++c.calling;
     return !known && !silent();
@@ -253,9 +247,8 @@
 
   // For the log: customers with a total of late, and how the counter's calls went since last asked.
   std::string state(Micros now) {
-    const auto known = std::count_if(customers_.begin(), customers_.end(), [now](const auto& e) {
-      return e.second.read_at > 0 && now - e.second.read_at < 2 * kPeriod;
-    });
+    int known = 0;
+    for (const auto& [name, c] : customers_) known += c.read_at > 0 && now - c.read_at < 2 * kPeriod;
     return join("customers ", customers_.size(), " (total of late ", known, "), ",
                 std::exchange(told_, {}).text(), ", pace ", int(call_rate_));
   }
@@ -354,7 +347,7 @@
     const bool ok = a.outcome == CountOutcome::kOk, unknown = a.outcome == CountOutcome::kUnknown;
     const bool back = ok && silent(), slow = 2 * a.duration > settings_.counter_timeout;
     told_.add(a.outcome, slow);
-    if (in_a_row_ == 0) good_rate_ = call_rate_;
+    if (in_a_row_ == 0) good_rate_ = call_rate_;  // before the calls that fail in a row now
     // Danger: calls on a connection that went silent come late one and all, whatever the line at the counter.
     if (back) call_rate_ = std::max(call_rate_, kPaceBack * good_rate_);
     in_a_row_ = ok ? 0 : in_a_row_ + 1;
@@ -383,18 +376,14 @@
   }
   const Settings& settings_;
   std::uint64_t random_;
-  double call_rate_ = first_calls(), calls_ = first_calls();
-  double good_rate_ = first_calls();  // before the calls that fail in a row now
-  double crowd_ = 0;                  // part of the calls that failed or took long; fading mean
-  Micros calls_at_ = 0, crowd_at_ = 0;
+  double call_rate_ = first_calls(), calls_ = first_calls(), good_rate_ = first_calls();
+  double crowd_ = 0;  // part of the calls that failed or took long; fading mean
+  Micros calls_at_ = 0, crowd_at_ = 0, born_ = 0;
   CounterCalls told_;           // since last told
   double could_ = 0, had_ = 0;  // units: what whole quotas would have come to, and what first totals were
-  Micros born_ = 0;
-  int processes_ = 1;
-  int in_a_row_ = 0;  // failed calls
+  int processes_ = 1, in_a_row_ = 0;  // of this gateway; calls that failed last
   std::map<std::string, Customer> customers_;
-  std::unordered_map<std::int64_t, std::pair<std::string, double>>
-      pending_;  // looked up by name, never walked
+  std::unordered_map<std::int64_t, std::pair<std::string, double>> pending_;  // by name, never walked
 };
 
 }  // namespace cottonroad::policy
--- a/src/support/pools.hpp
+++ b/src/support/pools.hpp
@@ -47,7 +47,7 @@
 };
 
 template <typename Owner>
-class Draws {
+class PoolLedger {
  public:
   struct Answer {
     Owner* owner = nullptr;  // null: the call was none of ours
