--- a/src/policy/quota.hpp
+++ b/src/policy/quota.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "support/numbers.hpp"
+#include "support/pools.hpp"
 #include "support/report.hpp"
 
 namespace cottonroad::policy {
@@ -27,6 +28,9 @@
 constexpr double kKnownWeight = 0.25;   // of a request of a known customer, for the need of a call
 constexpr double kFresh = 0.25;         // of whole quotas: names hold less while a counter is new
 constexpr double kFreshKeep = 0.95;     // of that evidence, a total
+constexpr double kThin = 0.1;           // of the largest request, an even part of the quota in a period
+constexpr double kDrawAim = 1.5;        // of the quota, what all draw where more is asked
+constexpr double kPassLeast = 0.02;     // of a customer's requests
 constexpr double kCreditMost = 2;       // requests that a slice past the quota may save up for
 constexpr double kOpenSpread = 0.85;    // deviations that the mean stays under an open cap
 constexpr double kOpenLeast = 0.3;      // of an open cap, that mean at the least
@@ -46,34 +50,24 @@
 struct Customer {
   const PlanSettings* plan = nullptr;
   std::uint64_t key = 0;
-  int set_size = 1;
-  double rate = 0;  // of the quota: units, or attempt-seconds under an open cap, a second
+  int set_size = 1, open = 0;  // gateways it comes through; attempts out
+  int asks = 0, calling = 0;   // requests that no call has carried yet; calls on their way
+  double rate = 0;             // of the quota: units, or attempt-seconds under an open cap, a second
   Micros last_use = 0, called_at = 0;
-  Micros at = 0;         // up to when own demand has faded and the store has filled
-  double own = 0;        // units a second asked here, refused requests included; fading mean
-  double others = 0;     // units a second asked elsewhere, as last measured
-  double store = 0;      // units the customer has left, as far as this gateway can tell
-  double part = 0;       // units of it that are ours to spend until the next total
-  double drawn = 0;      // units that others are taken to have drawn from it since the last total
-  double credit = 0;     // units of our slice not yet spent, while the whole store is empty
-  double uncounted = 0;  // units asked here that no call has carried yet
-  int asks = 0;          // requests that they came in
-  double last_units = 0;
-  Micros read_at = 0;      // last believed total; 0: none
-  std::int64_t epoch = 0;  // the counter name that `seen` belongs to
-  double seen = 0;         // its total when last read
-  Micros seen_at = 0;
-  double added = 0;                  // units that our own calls have added since
-  int calling = 0;                   // calls on their way
-  std::vector<std::string> waiting;  // requests that wait for the first total
-  double ceiling = 0;                // units left of our even part of the ceiling
-  Micros ceiling_at = 0;
-  double reserved = 0;  // units drawn from the ceiling's shared part, good in `window` alone
-  std::int64_t window = 0;
-  bool drained = false;                 // nothing is left there in `window`
-  bool reserving = false;               // a draw is on its way
-  std::vector<std::string> at_ceiling;  // requests that wait for it
-  int open = 0;                         // attempts out
+  Micros at = 0, ceiling_at = 0;  // up to when demand has faded and the store, or our part, has filled
+  double own = 0, others = 0;     // units a second asked: here, refused ones too, fading mean; elsewhere
+  double store = 0;               // units the customer has left, as far as this gateway can tell
+  double part = 0;                // units of it that are ours to spend until the next total
+  double drawn = 0;               // units that others are taken to have drawn from it since the last total
+  double credit = 0;              // units of our slice not yet spent, while the whole store is empty
+  double uncounted = 0, last_units = 0;  // units asked here that no call has carried yet; in the last request
+  Micros read_at = 0, seen_at = 0;       // last believed total, 0: none; and last read of the name
+  std::int64_t epoch = 0;                // the counter name that `seen` belongs to
+  double seen = 0, added = 0;            // its total when last read; what our own calls have added since
+  std::vector<std::string> waiting;      // requests that wait for the first total
+  double ceiling = 0;                    // units left of our even part of the ceiling
+  Drawn of_ceiling, of_quota;
+  double pass = 1, turn = 0;  // of its requests, those that may draw on the quota; and what adds up to one
 };
 
 class QuotaSlices {
@@ -147,21 +141,45 @@
     ++c.asks;
   }
 
+  // Danger: through hundreds of gateways each meets a customer once in 10 s or more, and a slice by a total
+  // as old as that says nothing of this moment. So few units to an even part are drawn, one request at a
+  // time.
+  bool thin(const Customer& c) const {
+    return settings_.has_counter && c.plan->rate > 0 &&
+           c.plan->rate * double(kPeriod) / kSecond < kThin * settings_.largest_units * c.set_size;
+  }
+  // Past the quota only so many draw that their draws add up to a little more than it.
+  bool may_draw(Customer& c) {
+    if (c.of_quota.window == 0) c.turn = uniform(random_);
+    c.turn += c.pass;
+    return c.turn >= 1 && (c.turn -= 1, true);
+  }
+  // What all drew in a window up to now tells how much is asked.
+  void drew(Micros now, Customer& c, double total, double seconds) {
+    advance(now, c);
+    const double asked = total / seconds;
+    c.others = std::max(0.0, asked / c.pass - c.own);
+    c.pass = std::clamp(c.pass * kDrawAim * c.rate / asked, kPassLeast, 1.0);
+    c.store = std::clamp(burst(c) - total, 0.0, burst(c));
+    c.part = fraction(c) * c.store;
+    c.read_at = now;
+  }
+
   // Is this request within the slice? One larger than the whole store passes when that is full.
   bool covers(const Customer& c, double units) const {
     return c.rate <= 0 || std::max(in_store(c), c.credit) >= std::min(units, depth(c)) - 1e-9;
   }
   // What it is taken from, to be given back there.
-  double Customer::*take(Customer& c, double units) {
+  double* take(Customer& c, double units, double* from = nullptr) const {
     const bool stored = in_store(c) >= std::min(units, depth(c)) - 1e-9;
-    const auto from = stored ? &Customer::store : &Customer::credit;
+    if (!from) from = stored ? &c.store : &c.credit;
     give_back(c, from, -units);
     return from;
   }
-  void give_back(Customer& c, double Customer::*to, double units) const {
+  void give_back(Customer& c, double* to, double units) const {
     if (c.rate <= 0) return;
-    c.*to += units;
-    if (to == &Customer::store) c.part += units;
+    *to += units;
+    if (to == &c.store) c.part += units;
   }
 
   // Our fraction of the whole: own demand and an even part of the room; past the quota our share of demand.
@@ -185,7 +203,7 @@
   // Hands own demand to the counter if a call is due, and tells whether a first total is on its way.
   bool call(Micros now, const std::string& who, Customer& c, std::vector<Action>& out) {
     const bool known = c.read_at > 0;
-    if (!settings_.has_counter || c.rate <= 0 || c.uncounted <= 0) return false;
+    if (!settings_.has_counter || c.rate <= 0 || c.uncounted <= 0 || thin(c)) return false;
     if (!known && c.calling > 0) return !silent();
     const double most = refill(now);
     // The fewer calls are to spare, the more requests must one carry, or customers met now and then would use
@@ -208,8 +226,7 @@
     const auto name = std::int64_t(mix(c.key ^ mix(std::uint64_t(epoch))) >> 2);
     pending_[name] = {who, c.uncounted};
     out.push_back(AddToCounter{name, c.uncounted, 2 * kEpoch});
-    c.uncounted = 0;
-    c.asks = 0;
+    c.uncounted = c.asks = 0;
     c.called_at = now;
     ++c.calling;
     return !known && !silent();
@@ -221,7 +238,7 @@
       auto here = it++;
       advance(now, here->second);
       if (now - here->second.last_use > kKnownFor && here->second.open == 0 && here->second.calling == 0 &&
-          !here->second.reserving)
+          !here->second.of_ceiling.drawing && !here->second.of_quota.drawing)
         customers_.erase(here);
       else
         call(now, here->first, here->second, out);
@@ -230,9 +247,8 @@
 
   // For the log: customers with a total of late, and how the counter's calls went since last asked.
   std::string state(Micros now) {
-    const auto known = std::count_if(customers_.begin(), customers_.end(), [now](const auto& e) {
-      return e.second.read_at > 0 && now - e.second.read_at < 2 * kPeriod;
-    });
+    int known = 0;
+    for (const auto& [name, c] : customers_) known += c.read_at > 0 && now - c.read_at < 2 * kPeriod;
     return join("customers ", customers_.size(), " (total of late ", known, "), ",
                 std::exchange(told_, {}).text(), ", pace ", int(call_rate_));
   }
@@ -260,14 +276,20 @@
 
   bool silent() const { return in_a_row_ >= kDownAfter; }
 
-  bool spare_call(Micros now) {
+  // `ahead`: s of the calls to come that may be used up, for a ceiling has to be held first.
+  bool spare_call(Micros now, double ahead) {
     if (!settings_.has_counter || silent()) return false;
     refill(now);
-    if (calls_ < 1 - call_rate_) return false;
+    if (calls_ < 1 - ahead * call_rate_) return false;
     calls_ -= 1;
     return true;
   }
 
+  // With no call to spare. Danger: with what others draw, slices past the quota came to twice as much.
+  bool passes_undrawn(const Customer& c, double units) const {
+    return covers(c, units) && (silent() || c.read_at <= 0 || c.own + c.others <= c.rate);
+  }
+
   // The counter answered or failed to. Returns the customer it was about.
   Customer* answered(Micros now, const CounterAnswered& a) {
     const auto call = pending_.extract(a.name);
@@ -325,7 +347,7 @@
     const bool ok = a.outcome == CountOutcome::kOk, unknown = a.outcome == CountOutcome::kUnknown;
     const bool back = ok && silent(), slow = 2 * a.duration > settings_.counter_timeout;
     told_.add(a.outcome, slow);
-    if (in_a_row_ == 0) good_rate_ = call_rate_;
+    if (in_a_row_ == 0) good_rate_ = call_rate_;  // before the calls that fail in a row now
     // Danger: calls on a connection that went silent come late one and all, whatever the line at the counter.
     if (back) call_rate_ = std::max(call_rate_, kPaceBack * good_rate_);
     in_a_row_ = ok ? 0 : in_a_row_ + 1;
@@ -354,18 +376,14 @@
   }
   const Settings& settings_;
   std::uint64_t random_;
-  double call_rate_ = first_calls(), calls_ = first_calls();
-  double good_rate_ = first_calls();  // before the calls that fail in a row now
-  double crowd_ = 0;                  // part of the calls that failed or took long; fading mean
-  Micros calls_at_ = 0, crowd_at_ = 0;
+  double call_rate_ = first_calls(), calls_ = first_calls(), good_rate_ = first_calls();
+  double crowd_ = 0;  // part of the calls that failed or took long; fading mean
+  Micros calls_at_ = 0, crowd_at_ = 0, born_ = 0;
   CounterCalls told_;           // since last told
   double could_ = 0, had_ = 0;  // units: what whole quotas would have come to, and what first totals were
-  Micros born_ = 0;
-  int processes_ = 1;
-  int in_a_row_ = 0;  // failed calls
+  int processes_ = 1, in_a_row_ = 0;  // of this gateway; calls that failed last
   std::map<std::string, Customer> customers_;
-  std::unordered_map<std::int64_t, std::pair<std::string, double>>
-      pending_;  // looked up by name, never walked
+  std::unordered_map<std::int64_t, std::pair<std::string, double>> pending_;  // by name, never walked
 };
 
 }  // namespace cottonroad::policy
