Keep held requests in their order instead of sorting them in each event

Each event tries every request that waits, and each try walked all servers.

Change: a request that is held is put at its place, behind those of its value, as the stable sort had it.

It still grows with how many wait, each tried in each event.

Not chosen: to stop at the first that finds no room. Whether those behind it would wait in vain is told to them in each event, and would be later.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -402,7 +402,8 @@
   // A request inside its quota that finds the servers full waits here for a part of its aim, dear ones first.
   void hold(Request& r) {
     r.held = true;
-    held_.push_back(r.id);
+    const auto dearer = [&](double value, const std::string& id) { return value > requests_.at(id).value; };
+    held_.insert(std::upper_bound(held_.begin(), held_.end(), r.value, dearer), r.id);
     log("full", "servers are full; requests wait or are refused");
     const Micros since = r.attempts.empty() ? r.arrived : now_;
     r.hold_until = std::min(r.give_up - std::max(settings_.tick, Micros(kNeed * r.expected)),
@@ -412,9 +413,6 @@
 
   void drain_held() {
     if (held_.empty()) return;
-    std::stable_sort(held_.begin(), held_.end(), [&](const std::string& a, const std::string& b) {
-      return requests_.at(a).value > requests_.at(b).value;
-    });
     std::vector<std::string> keep;
     double ahead = 0;  // us of answers that dearer ones will take
     for (const std::string& id : held_) {
@@ -448,8 +446,8 @@
   std::unordered_map<std::string, Request> requests_;  // looked up by id, never walked
   std::unordered_map<std::int64_t, std::pair<std::string, int>> timers_;
   std::map<std::string, Micros> logged_;
-  std::vector<std::string> held_;
-  Refusals refusals_;  // since last told
+  std::vector<std::string> held_;  // dear ones first
+  Refusals refusals_;              // since last told
   Micros now_ = 0, next_look_ = 0, told_at_ = 0;
   std::vector<Action>* out_ = nullptr;
   std::int64_t timer_ = 1;
