Scale tests: a cut region is held to its way back, by difference and by whole list

Cause: the region's event was not in a test. Change: twelve gateways, three agents, an hour's changes in a second, twice.

--- a/tests/scale/world_test.cpp
+++ b/tests/scale/world_test.cpp
@@ -399,6 +399,35 @@
   EXPECT_GT(s.cpu, s.module_cpu);
 }
 
+TEST(FleetTest, ARegionThatWasCutIsRightAgainByADifferenceOrByAWholeList) {
+  World::Options how;
+  how.layout = Layout::at(Target{}, 150, 12);
+  how.agents = 3;
+  how.known = true;
+  how.fleet.groups = 2;
+  World world(how);
+  begin(world);
+  EXPECT_EQ(world.spent().discovery.lists, 0u);  // all started with the list
+  const auto day = draw_day(world.layout(), {.seed = 2, .hours = 1, .compression = 3'600, .share = 1});
+  constexpr std::size_t kCut = 1;
+  for (const bool history : {true, false}) {
+    const auto before = world.spent();
+    world.at_agent(kCut, [](DiscoveryAgent& agent) { agent.set_silent(true); });
+    EXPECT_GT(world.play(day, 1'000'000, 250'000), 100u);
+    const auto revision = world.at_agent(0, [](DiscoveryAgent& agent) { return agent.revision(); });
+    EXPECT_LT(world.fleet().state().least_revision, revision);  // of those that are cut
+    world.at_agent(kCut, [history](DiscoveryAgent& agent) {
+      if (!history) agent.forget_history();
+      agent.set_silent(false);
+    });
+    EXPECT_TRUE(world.fleet().wait([revision](const FleetState& s) { return s.least_revision >= revision; },
+                                   kSettles));
+    EXPECT_TRUE(world.all_right(kSettles));
+    EXPECT_EQ(world.spent().since(before).discovery.lists, history ? 0u : 4u);
+  }
+  EXPECT_EQ(world.fleet().state().were_without, 0u);
+}
+
 TEST(FleetTest, ASizePastTheDescriptorsIsRefusedBeforeItStarts) {
   FleetOptions options;
   options.agents = {tcp::endpoint(asio::ip::address_v4::loopback(), 1)};
