--- a/src/net/catalog.hpp
+++ b/src/net/catalog.hpp
@@ -98,7 +98,7 @@
     std::int64_t cell = 0;
     double weight = 1;
     Micros started_at = 0;
-    std::uint32_t zone = 0, kind = 0;
+    std::uint32_t zone = 0;
     Sequence told = 0;       // by which list, last
     std::uint32_t host = 0;  // as in Host
     std::uint16_t port = 0;  // 0: no address was told
