Scale tests: sizes after the kept part and the catalog; one control machine's watchers are measured

Change: the smallest size is a 26th of the largest, memory is asked for by what was measured, events run with 7,400 gateways by default. Lists are moved into the catalog, not copied.

--- a/scale/events.cpp
+++ b/scale/events.cpp
@@ -18,7 +18,7 @@
 constexpr double kSpreadS = 10;      // s over which the mean of asks is taken, or as long as the event lasts
 constexpr std::size_t kGroups = 10;  // gateways that restart together are one of them
 
-std::size_t gateways_of(const Options& o) { return Sizes{o}.gateways(1'480, 30); }
+std::size_t gateways_of(const Options& o) { return Sizes{o}.gateways(7'400, 30); }
 std::size_t servers_of(const Options& o) { return Sizes{o}.servers(1'700, 700); }
 
 std::uint64_t memory_of(const Options& o) {
--- a/scale/fleet_slopes.cpp
+++ b/scale/fleet_slopes.cpp
@@ -352,7 +352,8 @@
   for (const char* name : {"memory", "gateway_cpu", "module_cpu", "calls"})
     report.fit(kTenants, name, "tenants", met);
   report.note(kTenants, "the target is a gateway's tenants where each comes through " +
-                            std::to_string(FleetOptions{}.spread) + " gateways: assumed");
+                            std::to_string(FleetOptions{}.spread) +
+                            " gateways: assumed; calls still carry how fast they were met");
 }
 
 }  // namespace
--- a/scale/hollow.cpp
+++ b/scale/hollow.cpp
@@ -34,7 +34,7 @@
 constexpr std::size_t kSpareDescriptors = 200;
 constexpr Micros kSmallBeat = 200'000;   // us between heartbeats in the small size, for the page's 2 s
 constexpr double kGatewayBytes = 150e3;  // a hollow gateway without servers and tenants, measured, rounded up
-constexpr double kServerBytes = 1.5e3;   // of each listed server at a gateway
+constexpr double kServerBytes = 0.55e3;  // of each listed server at a gateway, at 170,000 of them
 constexpr double kListBytes = 150;       // of a server on the wire
 constexpr double kTenantBytes = 1e3;     // of a tenant at a gateway
 
@@ -145,9 +145,9 @@
     told(*known, ServerListUpdate::Kind::kPersisted);
   }
 
-  void told(const net::MemberList& list, ServerListUpdate::Kind kind) {
+  void told(net::MemberList list, ServerListUpdate::Kind kind) {
     told_revision_ = list.revision;
-    catalog_.take(list);
+    catalog_.take(std::move(list));
     if (!applying_) apply(kind);
   }
 
@@ -570,7 +570,7 @@
 
 std::vector<std::size_t> doubling_sizes(std::size_t largest) {
   std::vector<std::size_t> sizes;
-  for (const std::size_t part : {8, 4, 2, 1}) sizes.push_back(std::max<std::size_t>(1, largest / part));
+  for (const std::size_t part : {26, 8, 4, 2, 1}) sizes.push_back(std::max<std::size_t>(1, largest / part));
   return sizes;
 }
 
--- a/scale/hollow.hpp
+++ b/scale/hollow.hpp
@@ -109,7 +109,7 @@
 };
 Delays delays_of(std::vector<double> samples);
 
-// Sizes for a slope: an eighth, a quarter, half and all of the largest.
+// Sizes for a slope: what one of 26 control machines has of the largest, an eighth, a quarter, half and all.
 std::vector<std::size_t> doubling_sizes(std::size_t largest);
 
 // Descriptors that a fleet takes, and the other ends of its connections with it.
