--- a/src/net/catalog.cpp
+++ b/src/net/catalog.cpp
@@ -274,7 +274,7 @@
 }
 
 bool Catalog::same(const Record& r, const Member& m) const {
-  const auto& e = m.entry;
+  const MemberEntry& e = m.entry;
   const auto state = r.draining ? ServerState::kDraining : ServerState::kUp;
   return state == e.state && r.started_at == e.started_at && r.cell == e.cell && r.weight == e.weight &&
          is_at(r, m.address) && names_.at(r.zone) == e.zone;
