--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -57,7 +57,7 @@
       discovery_(
           io, timers_, clock_, config.discovery, known_->revision,
           [this](MemberList list) { told(std::move(list)); }, config.seed, config.discovery_wait,
-          [this] { believe_known(); }),
+          [this] { believe_known(); }, lists_within(config.memory_mb)),
       frontend_(io, timers_, clock_, settings_, most_clients(config),
                 {[this](std::uint64_t client, ClientRequest r) { return took(client, std::move(r)); },
                  [this](std::uint64_t id) { gone(id); },
--- a/src/net/list_tries.hpp
+++ b/src/net/list_tries.hpp
@@ -22,8 +22,12 @@
   std::size_t small = 64 << 10;  // of one of some hundred servers
 };
 
-// A part of the memory in the configuration's `limits`.
-inline std::size_t list_memory(std::size_t memory_mb) { return (memory_mb << 20) / 6; }
+// Part of the memory in the configuration's `limits`: while a list comes, the one in force stays.
+inline ListLimits lists_within(std::size_t memory_mb) {
+  ListLimits limits;
+  limits.memory = (memory_mb << 20) / 6;
+  return limits;
+}
 
 // While the fault lasts, three kinds of tries go on. Often: what changed since the list in force, of which
 // only so much is read that a whole list shows itself as one. Seldom, with waits that double up to what
--- a/tests/net/lists_test.cpp
+++ b/tests/net/lists_test.cpp
@@ -255,6 +255,26 @@
   EXPECT_LT(double(agent.sent() - sent) / (double(clock.now() - since) / 1e6 * kFaster), 2'000);
 }
 
+TEST(ListsOfAGateway, OneThatWouldPassItsMemoryLeavesThatInForce) {
+  // Guards against a bound that is the same for a gateway of 32 MB and one of 256.
+  for (const std::size_t memory_mb : {1, 32}) {
+    Rig rig;
+    FakeServer server(rig.io);
+    rig.know(member("s1", server));
+    rig.config.memory_mb = memory_mb;
+    rig.discovery.first = list(42, true, fleet(2'000));
+    ::testing::internal::CaptureStderr();
+    Driver& driver = rig.start();
+    const auto taken = [&] { return driver.figures().find("app.targets=2000\n") != std::string::npos; };
+    const auto failed = [&] { return rig.discovery.asked.size() > 3; };
+    ASSERT_TRUE(rig.until([&] { return taken() || failed(); }));
+    const std::string log = ::testing::internal::GetCapturedStderr();
+    EXPECT_EQ(taken(), memory_mb == 32) << log;
+    EXPECT_EQ(failed(), memory_mb == 1) << log;
+    if (failed()) EXPECT_NE(driver.figures().find("app.targets=1\n"), std::string::npos);
+  }
+}
+
 TEST_F(ListsTest, AListThatTricklesIsGivenUpAndAskedForLessAndLessOften) {
   // Guards against one that always has another byte, and against asking for it 20 times a second.
   agent.answer = [](const std::string&) { return in_pieces(list(50, true, fleet(100)), 1); };
