--- a/scale/hollow.cpp
+++ b/scale/hollow.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
 #include <charconv>
 #include <chrono>
@@ -16,6 +17,7 @@
 #include <thread>
 #include <unordered_map>
 
+#include "catalog.hpp"
 #include "counter.hpp"
 #include "timers.hpp"
 
@@ -36,6 +38,25 @@
 constexpr double kListBytes = 150;       // of a server on the wire
 constexpr double kTenantBytes = 1e3;     // of a tenant at a gateway
 
+constexpr std::array kSums = {&FleetState::requests,     &FleetState::attempts,        &FleetState::served,
+                              &FleetState::refused,      &FleetState::failed,          &FleetState::calls,
+                              &FleetState::lists,        &FleetState::calls_not_added, &FleetState::changes,
+                              &FleetState::calls_unknown};
+
+// Adds `from`, or with -1 takes it off.
+void add(Traffic& to, const Traffic& from, int sign) {
+  for (const auto member : {&Traffic::sent, &Traffic::received, &Traffic::writes})
+    to.*member += std::uint64_t(sign) * from.*member;
+}
+void add(DiscoveryAgent::Counts& to, const DiscoveryAgent::Counts& from, int sign) {
+  using Counts = DiscoveryAgent::Counts;
+  add(to.traffic, from.traffic, sign);
+  for (const auto member :
+       {&Counts::asks, &Counts::lists, &Counts::differences, &Counts::changes, &Counts::heartbeats,
+        &Counts::connections, &Counts::turned_away, &Counts::too_slow})
+    to.*member += std::uint64_t(sign) * from.*member;
+}
+
 // The number in an id that server_id() made.
 std::size_t server_number(const std::string& id) {
   std::size_t number = 0;
@@ -91,22 +112,13 @@
   }
 
   void add_to(FleetState& s) const {
-    s.with_list += listed_ > 0;
+    s.with_list += first_list_ > 0 && catalog_.up() > 0;
     s.right += right_at_ > 0;
     s.were_without += was_without_;
     s.least_revision = std::min(s.least_revision, revision_);
     s.longest_first_list = std::max(s.longest_first_list, first_list_);
     s.last_right_at = std::max(s.last_right_at, right_at_);
-    s.requests += sums_.requests;
-    s.attempts += sums_.attempts;
-    s.served += sums_.served;
-    s.refused += sums_.refused;
-    s.failed += sums_.failed;
-    s.calls += sums_.calls;
-    s.calls_not_added += sums_.calls_not_added;
-    s.calls_unknown += sums_.calls_unknown;
-    s.lists += sums_.lists;
-    s.changes += sums_.changes;
+    for (const auto member : kSums) s.*member += sums_.*member;
     s.module_cpu += sums_.module_cpu;
   }
   std::int64_t revision() const { return revision_; }
@@ -134,29 +146,37 @@
   }
 
   void told(const net::MemberList& list, ServerListUpdate::Kind kind) {
+    told_revision_ = list.revision;
+    catalog_.take(list);
+    if (!applying_) apply(kind);
+  }
+
+  // Slice by slice, as net::Driver does.
+  void apply(ServerListUpdate::Kind kind) {
     ServerListUpdate update;
     update.kind = kind;
-    for (const net::Member& m : list.members) update.entries.push_back(m.entry);
-    told_revision_ = list.revision;
-    if (list.complete) up_.assign(up_.size(), false), listed_ = 0;
+    update.entries = catalog_.apply().entries;
     for (const ServerEntry& e : update.entries) {
       const std::size_t number = server_number(e.server);
       if (number >= up_.size()) up_.resize(number + 1);
-      const bool up = e.state == ServerState::kUp;
-      listed_ += std::size_t(up) - std::size_t(up_[number]);
-      up_[number] = up;
+      up_[number] = e.state == ServerState::kUp;
     }
-    ++(list.complete ? sums_.lists : sums_.changes);
-    push(std::move(update));
+    applying_ = !catalog_.settled();
+    if (!update.entries.empty())
+      push(std::move(update));
+    else if (!applying_)
+      in_force();  // nothing was new
+    if (applying_) asio::post(io_, [this] { apply(ServerListUpdate::Kind::kPartial); });
   }
 
-  // Once the module has it.
+  // Once the module has all of it.
   void in_force() {
-    if (told_revision_ == revision_) return;
+    if (applying_ || told_revision_ == revision_) return;
     revision_ = told_revision_;
     in_force_at_ = steady_now();
-    if (listed_ > 0 && first_list_ == 0) first_list_ = std::max<Micros>(1, in_force_at_ - started_);
-    if (listed_ == 0 && first_list_ > 0) was_without_ = true;
+    const std::size_t up = catalog_.up();
+    if (up > 0 && first_list_ == 0) first_list_ = std::max<Micros>(1, in_force_at_ - started_);
+    if (up == 0 && first_list_ > 0) was_without_ = true;
     look_right();
   }
 
@@ -172,7 +192,7 @@
     const double wait = std::exponential_distribution<>(rate_)(random_);
     timers_.after(Micros(wait * 1e6), [this, life] {
       if (life != load_) return;
-      arrive();
+      if (first_list_ > 0) arrive();  // until then the driver holds them back
       next_arrival(life);
     });
   }
@@ -273,8 +293,9 @@
   net::Timers timers_;
   Gateway gateway_;
   std::shared_ptr<const net::MemberList> known_;
+  net::Catalog catalog_;
+  bool applying_ = false;
   std::vector<bool> up_;  // by number
-  std::size_t listed_ = 0;
   std::shared_ptr<const std::vector<bool>> expected_;
   const Micros started_;
   Micros first_list_ = 0, right_at_ = 0, in_force_at_ = 0;
@@ -511,18 +532,9 @@
   s.at = steady_now();
   for (std::size_t i = 0; i < agents_.size(); ++i) {
     const auto c = at_agent(i, [](DiscoveryAgent& agent) { return agent.counts(); });
-    auto& sum = s.discovery;
-    sum.traffic.sent += c.traffic.sent;
-    sum.traffic.received += c.traffic.received;
-    sum.traffic.writes += c.traffic.writes;
-    sum.asks += c.asks;
-    for (const auto& [second, asks] : c.asks_by_second) sum.asks_by_second[second] += asks;
-    sum.lists += c.lists;
-    sum.differences += c.differences;
-    sum.changes += c.changes;
-    sum.heartbeats += c.heartbeats;
-    sum.connections += c.connections;
-    sum.watchers += c.watchers;
+    add(s.discovery, c, 1);
+    for (const auto& [second, asks] : c.asks_by_second) s.discovery.asks_by_second[second] += asks;
+    s.discovery.watchers += c.watchers;
     s.agents_cpu += agents_[i].first->cpu();
   }
   if (counter_) {
@@ -544,16 +556,8 @@
   s.counter_cpu -= before.counter_cpu;
   s.gateways_cpu -= before.gateways_cpu;
   s.module_cpu -= before.module_cpu;
-  s.discovery.traffic.sent -= before.discovery.traffic.sent;
-  s.discovery.traffic.received -= before.discovery.traffic.received;
-  s.discovery.asks -= before.discovery.asks;
-  s.discovery.lists -= before.discovery.lists;
-  s.discovery.differences -= before.discovery.differences;
-  s.discovery.changes -= before.discovery.changes;
-  s.discovery.heartbeats -= before.discovery.heartbeats;
-  s.discovery.connections -= before.discovery.connections;
-  s.counting.traffic.sent -= before.counting.traffic.sent;
-  s.counting.traffic.received -= before.counting.traffic.received;
+  add(s.discovery, before.discovery, -1);
+  add(s.counting.traffic, before.counting.traffic, -1);
   s.counting.calls -= before.counting.calls;
   return s;
 }
@@ -644,7 +648,6 @@
     net::Member m;
     m.entry.server = s.id;
     m.entry.zone = s.locality;
-    m.entry.kind = s.flavor;
     m.entry.cell = s.cell;
     m.entry.state = s.phase == Phase::kUp ? ServerState::kUp : ServerState::kDraining;
     m.entry.weight = s.size;
