Scale tests: a size past the descriptors is bad input and exits with 2

Cause: the estimate of a scenario's memory throws where its descriptors can't be had, and the program ended with 1. Change: that is mapped to bad input. A file of the stand-ins is formatted.

--- a/scale/main.cpp
+++ b/scale/main.cpp
@@ -76,10 +76,19 @@
 
 double megabytes(std::uint64_t bytes) { return std::round(double(bytes) / 1e6); }
 
+// A size that can't be had at all, such as one past the descriptors, is bad input as well.
+std::uint64_t memory_of(const Scenario& s, const Options& options) {
+  try {
+    return s.memory(options);
+  } catch (const std::invalid_argument& e) {
+    throw BadInput("scenario '" + s.name + "': " + e.what());
+  }
+}
+
 void check_memory(const std::vector<Scenario>& scenarios, const Options& options) {
   const double most = kMemoryShare * double(machine_memory());
   for (const Scenario& s : scenarios)
-    if (const std::uint64_t needs = s.memory(options); double(needs) > most)
+    if (const std::uint64_t needs = memory_of(s, options); double(needs) > most)
       throw BadInput("scenario '" + s.name + "' would take about " + std::to_string(needs / 1'000'000) +
                      " MB at this size; half of this machine's memory is " +
                      std::to_string(std::uint64_t(most) / 1'000'000) + " MB");
--- a/scale/standins.hpp
+++ b/scale/standins.hpp
@@ -109,7 +109,7 @@
     std::uint64_t differences = 0;  // first objects of a watch that held what had changed
     std::uint64_t changes = 0;      // objects pushed to watchers, one for each of them
     std::uint64_t heartbeats = 0, connections = 0, turned_away = 0, too_slow = 0;
-    std::size_t watchers = 0;  // now
+    std::size_t watchers = 0;                        // now
     std::map<Micros, std::uint32_t> asks_by_second;  // by second of steady_now()
   };
 
--- a/tests/scale/program_test.cpp
+++ b/tests/scale/program_test.cpp
@@ -60,6 +60,13 @@
   EXPECT_EQ(ended.said.find("module.list: "), std::string::npos) << ended.said;
 }
 
+TEST(Program, ASizePastTheDescriptorsStartsNothing) {
+  // Or past the memory, where a process may have that many.
+  const Ended ended = program("run fleet.calls --gateways 4000000");
+  EXPECT_EQ(ended.code, 2);
+  EXPECT_NE(ended.said.find("fleet.calls"), std::string::npos) << ended.said;
+}
+
 TEST(Program, TellsItsVersionItsHelpAndItsScenarios) {
   EXPECT_EQ(program("--version").code, 0);
   EXPECT_EQ(program("--help").code, 0);
--- a/tests/scale/world_test.cpp
+++ b/tests/scale/world_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <cmath>
 #include <set>
+#include <sstream>
 
 #include "counter.hpp"
 #include "day.hpp"
@@ -247,11 +248,10 @@
   tcp::socket socket(io);
   socket.connect(server->address());
   const auto call = [](std::vector<std::string> words) {
-    std::string out("*");
-    out.append(std::to_string(words.size())).append("\r\n");
-    for (const auto& w : words)
-      out.append("$").append(std::to_string(w.size())).append("\r\n").append(w).append("\r\n");
-    return out;
+    std::ostringstream out;
+    out << '*' << words.size() << "\r\n";
+    for (const auto& w : words) out << '$' << w.size() << "\r\n" << w << "\r\n";
+    return out.str();
   };
   asio::write(socket,
               asio::buffer(call({"PING"}) + call({"CLIENT", "SETNAME", "x"}) + call({"SELECT", "0"}) +
