Driver tests: a start that is slow may ask twice; the cost of a change is what is tested

Seen: under the sanitizers AChangeOfOneCostsAsMuchAmongManyAsAmongFew failed in each of three runs; plain it passed. It waited for a ready gateway that had asked exactly once, and 170,000 servers take so long to put in force there that the watch counted as quiet after 120 ms and was opened anew: two asks, and the wait never ended (the log says so).

Change: it waits for a ready gateway that has asked. What it asserts of the cost is as it was; that a list is taken at the first ask is held by ListsTest. Result: passes sanitized, 446 us at 200 and 463 at 170,000, and plain, 18 and 13 us.

--- a/tests/net/driver_test.cpp
+++ b/tests/net/driver_test.cpp
@@ -685,7 +685,8 @@
     Rig many;
     for (int i = 0; i < n; ++i) many.know(servers.member(label("n", i), i));
     many.start();
-    ASSERT_TRUE(many.until([&] { return many.driver->ready() && many.discovery.asked.size() == 1; }));
+    const bool up = many.until([&] { return many.driver->ready() && !many.discovery.asked.empty(); });
+    ASSERT_TRUE(up) << many.driver->ready() << " ready, asks " << many.discovery.asked.size();
     us[n] = 1e9;
     for (int run = 0, drained = 0; run < 19; ++run) {
       const double began = cpu_us();
