Lists test: braces round an expectation under an if

GCC warned of an ambiguous else that the macro brings (-Wdangling-else). The expectation is as it was. The net tests build without that warning.

--- a/tests/net/lists_test.cpp
+++ b/tests/net/lists_test.cpp
@@ -271,7 +271,9 @@
     const std::string log = ::testing::internal::GetCapturedStderr();
     EXPECT_EQ(taken(), memory_mb == 32) << log;
     EXPECT_EQ(failed(), memory_mb == 1) << log;
-    if (failed()) EXPECT_NE(driver.figures().find("app.targets=1\n"), std::string::npos);
+    if (failed()) {
+      EXPECT_NE(driver.figures().find("app.targets=1\n"), std::string::npos);
+    }
   }
 }
 
