--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -111,8 +111,11 @@
   close();
 }
 
-Socket Socket::connect(std::uint16_t port) {
+Socket Socket::connect(std::uint16_t port, int segment_bytes) {
   const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (segment_bytes > 0) {
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes, sizeof segment_bytes);
+  }
   const sockaddr_in address = loopback(port);
   if (::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
     ::close(descriptor);
--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -44,7 +44,8 @@
   Socket& operator=(Socket&& other) noexcept;
   ~Socket();
 
-  static Socket connect(std::uint16_t port);
+  // `segment_bytes`: TCP_MAXSEG; 0 keeps the system's value.
+  static Socket connect(std::uint16_t port, int segment_bytes = 0);
   bool is_open() const { return descriptor_ >= 0; }
   int descriptor() const { return descriptor_; }
   // Returns whether all bytes were handed to the system within `limit` ms.
