Review: drop what the stand-ins no longer need

Cause: socket options, slow reading and hashes served tests that gave way to others. Change: they go; the cases do the same as before.

--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -111,11 +111,8 @@
   close();
 }
 
-Socket Socket::connect(std::uint16_t port, int segment_bytes) {
+Socket Socket::connect(std::uint16_t port) {
   const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (segment_bytes > 0) {
-    ::setsockopt(descriptor, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes, sizeof segment_bytes);
-  }
   const sockaddr_in address = loopback(port);
   if (::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
     ::close(descriptor);
@@ -176,15 +173,9 @@
   }
 }
 
-void Listener::start(Handler handler, ListenOptions options) {
+void Listener::start(Handler handler) {
   handler_ = std::move(handler);
   descriptor_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (options.segment_bytes > 0) {
-    ::setsockopt(descriptor_, IPPROTO_TCP, TCP_MAXSEG, &options.segment_bytes, sizeof(int));
-  }
-  if (options.receive_bytes > 0) {
-    ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &options.receive_bytes, sizeof(int));
-  }
   const sockaddr_in address = loopback(0);
   if (::bind(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
       ::listen(descriptor_, 256) != 0) {
@@ -265,17 +256,15 @@
   return true;
 }
 
-Socket::Read read_body(Socket& socket, std::string& input, Message& message, double limit,
-                       std::size_t piece, double pause_ms) {
+Socket::Read read_body(Socket& socket, std::string& input, Message& message, double limit) {
   const double ends_at = now_ms() + limit;
   // Makes sure that `input` holds `size` bytes.
   const auto fill = [&](std::size_t size) {
     while (input.size() < size) {
-      const auto result = socket.read(input, ends_at - now_ms(), piece);
+      const auto result = socket.read(input, ends_at - now_ms());
       if (result != Socket::Read::kData) {
         return result;
       }
-      sleep_ms(pause_ms);
     }
     return Socket::Read::kData;
   };
@@ -531,20 +520,6 @@
   return value == nullptr || std::strcmp(value, "0") != 0;
 }
 
-std::uint64_t hash(const std::string& bytes) {
-  std::uint64_t value = 14695981039346656037ULL;
-  for (const char byte : bytes) {
-    value = (value ^ std::uint8_t(byte)) * 1099511628211ULL;
-  }
-  return value;
-}
-
-std::string hex(std::uint64_t value) {
-  char text[20];
-  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
-  return text;
-}
-
 void cannot_run(const std::string& reason) {
   std::fprintf(stderr, "cannot run: %s\n", reason.c_str());
   std::_Exit(2);
--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -44,8 +44,7 @@
   Socket& operator=(Socket&& other) noexcept;
   ~Socket();
 
-  // `segment_bytes`: TCP_MAXSEG; 0 keeps the system's value.
-  static Socket connect(std::uint16_t port, int segment_bytes = 0);
+  static Socket connect(std::uint16_t port);
   bool is_open() const { return descriptor_ >= 0; }
   int descriptor() const { return descriptor_; }
   // Returns whether all bytes were handed to the system within `limit` ms.
@@ -60,12 +59,6 @@
   int descriptor_ = -1;
 };
 
-// Options of a listening socket; 0 keeps the system's value.
-struct ListenOptions {
-  int segment_bytes = 0;  // TCP_MAXSEG, as on an Ethernet link
-  int receive_bytes = 0;  // SO_RCVBUF
-};
-
 // A listener with one thread for each connection.
 class Listener {
  public:
@@ -73,7 +66,7 @@
 
   Listener() = default;
   ~Listener();
-  void start(Handler handler, ListenOptions options = {});
+  void start(Handler handler);
   std::uint16_t port() const { return port_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   // Stops listening and resets all connections, as the system does when a process dies.
@@ -102,9 +95,8 @@
 
 // Reads the head of a message from `socket`. `input` holds bytes read ahead.
 bool read_head(Socket& socket, std::string& input, Message& message, double limit);
-// Reads the body after the head. `pause_ms` is waited after each `piece` bytes.
-Socket::Read read_body(Socket& socket, std::string& input, Message& message, double limit,
-                       std::size_t piece = 65536, double pause_ms = 0);
+// Reads the body after the head.
+Socket::Read read_body(Socket& socket, std::string& input, Message& message, double limit);
 
 // One server in the list of discovery.
 struct Member {
@@ -172,8 +164,6 @@
 std::uint16_t free_port();
 // False with TROUBLE=0.
 bool has_trouble();
-std::uint64_t hash(const std::string& bytes);
-std::string hex(std::uint64_t value);
 // Ends the program: the case could not run.
 [[noreturn]] void cannot_run(const std::string& reason);
 
