--- a/review/1/smuggle.cpp
+++ b/review/1/smuggle.cpp
@@ -40,14 +40,18 @@
   void on_sent(const std::string& id) {
     const std::lock_guard lock(mutex_);
     sent_.insert(id);
+    record_.line("client sends POST /allocate, " + id);
   }
   void on_run(const std::string& server, const Message& request, const std::string& id) {
     const std::lock_guard lock(mutex_);
-    if (sent_.count(id) > 0) {
-      return;
-    }
-    ++not_sent_;
-    record_.line(server + " runs a request that no client sent: " + request.first_line + ", " + id);
+    const bool is_sent = sent_.count(id) > 0;
+    not_sent_ += is_sent ? 0 : 1;
+    record_.line(server + " runs " + (is_sent ? "" : "a request that no client sent: ") +
+                 request.first_line + ", " + id + ", body of " +
+                 std::to_string(request.body.size()) + " bytes, and answers 200");
+  }
+  void on_reset(const std::string& server, const std::string& id) {
+    record_.line(server + " resets the connection of " + id + " and doesn't run it");
   }
   int not_sent() {
     const std::lock_guard lock(mutex_);
@@ -90,6 +94,7 @@
       while (input.size() < kBeginningBytes && socket.read(input, 5000) == Socket::Read::kData) {
       }
       sleep_ms(pause());
+      ledger_.on_reset(id_, id);
       return socket.reset();
     }
     read_body(socket, input, request, 30'000);
@@ -164,6 +169,8 @@
       record.line("client " + std::string(id) + " is served with: " + answer.body);
       ++foreign;
     }
+    record.line("client " + std::string(id) + ": " +
+                (answer.complete ? answer.first_line + ": " + answer.body : "no answer"));
     ++answers[answer.first_line];
     sleep_ms(kUploadPauseMs);
   }
