--- a/review/1/endless.cpp
+++ b/review/2/endless.cpp
@@ -1,4 +1,4 @@
-// Case 1: one server sends one answer that never ends, and the gateway keeps all of it. See
+// Case 2: one server sends one answer that never ends, and the gateway keeps all of it. See
 // claim.txt.
 #include <signal.h>
 
@@ -20,12 +20,6 @@
 constexpr double kBytesPerMs = 125'000;
 constexpr double kObservedMs = 6000;
 
-constexpr const char* kClasses = R"([
-  {"DedupScope":"all","GiveUpUs":5000000,"Importance":3.0,"LateValue":0.0,"Name":"stock-lookup",
-   "ObjectiveUs":2000000,"Repeat":"safe","Stream":false,"WindowUs":5000000},
-  {"DedupScope":"all","GiveUpUs":2000000,"Importance":9.0,"LateValue":0.0,"Name":"allocate",
-   "ObjectiveUs":750000,"Repeat":"unsafe","Stream":false,"WindowUs":5000000}])";
-
 // A server that works for 100 ms on each request and answers 200. The request of the client with
 // the endless answer is told by its id.
 class StockServer {
@@ -170,8 +164,8 @@
   discovery.start(members);
   Counter counter;
   counter.start();
-  GatewayProcess gateway("n0", settings(kClasses, 0), discovery.address(), counter.address(),
-                         kMemoryMb, 1024);
+  GatewayProcess gateway("n0", settings(0), discovery.address(), counter.address(), kMemoryMb,
+                         1024);
   gateway.await_ready();
   sleep_ms(500);
 
--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -164,9 +164,9 @@
   pid_t pid_ = -1;
 };
 
-// The settings of the example in WIRE-spanstair.md for one of two gateways, with the given classes
-// (a JSON array) and the plan `warehouse`.
-std::string settings(const std::string& classes, int position);
+// The settings of the example in WIRE-spanstair.md for one of two gateways, with the classes
+// `stock-lookup` (safe to repeat) and `allocate` (unsafe) and the plan `warehouse`.
+std::string settings(int position);
 std::string allocate_path(int customer);
 // A free port, which the caller must use at once.
 std::uint16_t free_port();
