--- a/tests/net/server/large_message_test.cpp
+++ b/tests/net/server/large_message_test.cpp
@@ -3,7 +3,6 @@
 #include <gtest/gtest.h>
 
 #include <array>
-#include <charconv>
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -14,20 +13,11 @@
 #include <utility>
 
 #include "support/gateway_test_bed.hpp"
+#include "support/steady_writer.hpp"
 
 namespace quota_gateway::net::testing {
 namespace {
 
-std::string hexadecimal(std::size_t number) {
-  std::array<char, 16> digits{};
-  char* const end = std::to_chars(digits.begin(), digits.end(), number, 16).ptr;
-  return {digits.data(), end};
-}
-
-std::string chunk(const std::string& content) {
-  return hexadecimal(content.size()) + "\r\n" + content + "\r\n";
-}
-
 // A body in which a shifted, lost or duplicated part can be detected.
 std::string patterned_body(std::size_t size) {
   std::string body(size, '\0');
@@ -37,13 +27,6 @@
   return body;
 }
 
-// The head of a request with a long body.
-std::string long_post(const std::string& framing, const std::string& trace_id = "t") {
-  return "POST /intro-request/00000000b4d65521 HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: " +
-         trace_id + "\r\nPlan: plan-group\r\nX-Expires-In: 4000m\r\nIdempotency-Key: k\r\n" +
-         framing + "\r\nQuota-Info: units=1,spread=3,first=0\r\n\r\n";
-}
-
 // The next response, of any length; none if the connection ends first.
 std::optional<http::response<http::string_body>> receive_long(asio::io_context& io,
                                                               Client& client) {
@@ -59,34 +42,6 @@
   return parser.release();
 }
 
-// Writes a text to a connection as fast as the peer reads it.
-class SteadyWriter {
- public:
-  explicit SteadyWriter(std::string text) : text_(std::move(text)) {}
-
-  void start(std::shared_ptr<PeerConnection> connection) {
-    connection_ = std::move(connection);
-    write();
-  }
-  std::size_t written() const { return written_; }
-  bool is_done() const { return written_ == text_.size(); }
-
- private:
-  void write() {
-    connection_->socket.async_write_some(asio::buffer(text_) + written_,
-                                         [this](error_code error, std::size_t count) {
-                                           written_ += count;
-                                           if (!error && !is_done()) {
-                                             write();
-                                           }
-                                         });
-  }
-
-  const std::string text_;
-  std::shared_ptr<PeerConnection> connection_;
-  std::size_t written_ = 0;
-};
-
 class LargeMessages : public ::testing::Test {
  protected:
   LargeMessages() {
@@ -214,8 +169,8 @@
   }
   chunks += "0\r\n\r\n";
   int requests_written = 0;
-  for (const std::string& text : {long_post("Content-Length: 1000000") + body,
-                                  long_post("Transfer-Encoding: chunked") + chunks}) {
+  for (const std::string& text : {post_head("Content-Length: 1000000") + body,
+                                  post_head("Transfer-Encoding: chunked") + chunks}) {
     GatewayTestBed other;
     FakeServer server{other.io};
     std::string received;
@@ -250,7 +205,7 @@
   test_bed.start();
   for (int request = 0; request < 3; ++request) {
     Client client = test_bed.client();
-    const std::string text = long_post("Content-Length: 500000", prefixed_number("t", request)) +
+    const std::string text = post_head("Content-Length: 500000", prefixed_number("t", request)) +
                              std::string(500'000, 'x');
     asio::async_write(client.socket, asio::buffer(text), [](error_code, std::size_t) {});
     const auto response = client.receive();
@@ -264,7 +219,7 @@
   test_bed.start();
   {
     Client client = test_bed.client();
-    client.send(long_post("Content-Length: 500000") + std::string(200'000, 'x'));
+    client.send(post_head("Content-Length: 500000") + std::string(200'000, 'x'));
     ASSERT_TRUE(test_bed.run_until([&] { return server1.peers.size() == 1; }));
     EXPECT_TRUE(has_stat("app.concurrent=1"));
   }
@@ -282,7 +237,7 @@
   };
   test_bed.start();
   Client client = test_bed.client();
-  client.send(long_post("Content-Length: 5\r\nExpect: 100-continue"));
+  client.send(post_head("Content-Length: 5\r\nExpect: 100-continue"));
   std::array<char, kInterimResponse.size()> received{};
   bool has_received = false;
   asio::async_read(client.socket, asio::buffer(received),
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -11,7 +11,7 @@
     error_code ec;
     const auto used = parser.put(asio::buffer(pending), ec);
     if (ec || !parser.is_done()) {
-      return;
+      return on_incomplete_request(peer, pending);
     }
     pending.erase(0, used);
     ++peer.requests;
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -20,6 +20,9 @@
   using Listener::Listener;
 
   std::function<void(PeerConnection&, const HttpRequest&)> on_request = respond_with_target;
+  // Called with the input after the last complete request, whenever more of it has arrived.
+  std::function<void(PeerConnection&, const std::string&)> on_incomplete_request =
+      [](PeerConnection&, const std::string&) {};
   // All complete requests received.
   std::vector<HttpRequest> requests;
 
--- a/tests/support/http_messages.hpp
+++ b/tests/support/http_messages.hpp
@@ -17,4 +17,11 @@
 // value of header X-Expires-In.
 std::string post_request(const std::string& trace_id, const std::string& expires_in = "4000m");
 
+// Returns the head of such a request whose body follows. `framing`: the header line that states how
+// the body ends, without its line end.
+std::string post_head(const std::string& framing, const std::string& trace_id = "t");
+
+// Returns `content`, which must not be empty, as one chunk of a chunked body.
+std::string chunk(const std::string& content);
+
 }  // namespace quota_gateway::net::testing
