--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -182,6 +182,12 @@
   }
 }
 
+void ClientListener::withdraw_body_piece_request(ClientId client) {
+  if (const auto session = sessions_.find(client)) {
+    session->withdraw_body_piece_request();
+  }
+}
+
 // ---- Shutdown
 
 void ClientListener::drain() {
--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -62,6 +62,9 @@
   // Requests the next piece of the request's body. on_body_piece is called with it later, never
   // from within this function.
   void request_body_piece(ClientId client);
+  // Withdraws the request for a piece that has not been delivered. The piece stays at the session
+  // until the next request_body_piece().
+  void withdraw_body_piece_request(ClientId client);
 
   // Closes the connections that are idle between requests now, and every other connection with its
   // next response. The listener continues to accept connections.
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -218,6 +218,10 @@
   });
 }
 
+void ClientSession::withdraw_body_piece_request() {
+  activity_.on_body_piece_settled();
+}
+
 void ClientSession::deliver_body_piece() {
   activity_.on_input(context_.clock.now());
   std::optional<BodyPiece> piece;
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -38,6 +38,7 @@
   void finish_response();
   void abort_response();
   void request_body_piece();
+  void withdraw_body_piece_request();
 
   // Closes the session if it is idle between requests and its socket has no unread input.
   void close_if_idle();
--- a/src/net/client/session_activity.hpp
+++ b/src/net/client/session_activity.hpp
@@ -52,7 +52,7 @@
   void on_request_received() { has_had_request_ = true; }
   // The gateway server has requested the next piece of the request's body.
   void on_body_piece_requested(Micros now);
-  // The requested piece has been delivered or is no longer needed.
+  // The requested piece has been delivered, or its request was withdrawn.
   void on_body_piece_settled() { awaits_body_piece_ = false; }
   void on_write_started() { awaits_response_piece_ = false; }
   // A piece has been written. Until the server sends the next one, the write timeout doesn't apply.
--- a/src/net/server/message_streamer.cpp
+++ b/src/net/server/message_streamer.cpp
@@ -52,6 +52,12 @@
   events_.push(AttemptWritten{std::to_string(key.request), key.attempt});
 }
 
+void MessageStreamer::on_attempt_failed(const Request& request) {
+  if (!request.body_complete) {
+    clients_.withdraw_body_piece_request(request.client);
+  }
+}
+
 // The attempt is reported to the decision module as successful at this point: its server has done
 // the work, and there is nothing left to decide.
 void MessageStreamer::on_response_started(AttemptKey key, const AttemptResult& result,
--- a/src/net/server/message_streamer.hpp
+++ b/src/net/server/message_streamer.hpp
@@ -39,6 +39,10 @@
   // All of the body that was received so far has been written. Requests the next piece from the
   // client.
   void on_body_piece_written(AttemptKey key);
+  // An attempt of the request has ended without a response for the client. Withdraws its request
+  // for the next piece: the next attempt begins with the stored beginning of the body, and
+  // requests the piece itself once that is written.
+  void on_attempt_failed(const Request& request);
   // The last byte of the attempt's request has been written. Has no effect unless the body is long.
   void on_request_written(AttemptKey key);
 
--- a/src/net/server/request_dispatcher.cpp
+++ b/src/net/server/request_dispatcher.cpp
@@ -116,6 +116,8 @@
     success.status = int(http::status::ok);
     success.body = std::move(result.body);
     finisher_.answer(request, success);
+  } else {
+    streamer_.on_attempt_failed(request);
   }
   reporter_.report_complete(entry, key, result);
 }
--- a/src/net/upstream/attempt_runner.cpp
+++ b/src/net/upstream/attempt_runner.cpp
@@ -59,11 +59,7 @@
   if (size == connection->output.size()) {
     on_output_written(connection);
   } else if (ec && ec != asio::error::would_block) {
-    const AttemptKey key = connection->attempt;
-    attempts_.erase(key);
-    connection_events_.on_released(connection, ConnectionCondition::kBroken);
-    // The last byte of the request was not written, so the server has not run the request.
-    return fail_unassigned(key, Outcome::kConnectFailed);
+    return fail_unwritten(connection);
   } else {
     write_remaining(connection, size);
   }
@@ -76,9 +72,12 @@
     return;
   }
   const ConnectionPtr connection = entry->second;
-  if (!connection->body_incomplete || connection->write_pending) {
-    return;
+  if (!connection->awaits_body_piece) {
+    // `output` may hold bytes that are not written yet. The piece cannot follow them, and without
+    // it the body would have a gap.
+    return fail_unwritten(connection);
   }
+  connection->awaits_body_piece = false;
   connection->encode_body_piece(piece, is_last);
   if (connection->output.empty()) {
     on_output_written(connection);
@@ -153,6 +152,11 @@
     attempt_events_.on_request_written(connection->attempt);
     return;
   }
+  request_body_piece(connection);
+}
+
+void AttemptRunner::request_body_piece(const ConnectionPtr& connection) {
+  connection->awaits_body_piece = true;
   asio::post(io_, [this, connection, key = connection->attempt] {
     if (connection->state == State::kWriting && connection->attempt == key) {
       attempt_events_.on_body_piece_needed(key);
@@ -181,6 +185,13 @@
   complete_without_response(connection, outcome, ConnectionCondition::kBroken);
 }
 
+void AttemptRunner::fail_unwritten(const ConnectionPtr& connection) {
+  const AttemptKey key = connection->attempt;
+  attempts_.erase(key);
+  connection_events_.on_released(connection, ConnectionCondition::kBroken);
+  fail_unassigned(key, Outcome::kConnectFailed);
+}
+
 void AttemptRunner::fail_unassigned(AttemptKey key, Outcome outcome) {
   asio::post(io_, [this, key, outcome] {
     AttemptResult result;
--- a/src/net/upstream/attempt_runner.hpp
+++ b/src/net/upstream/attempt_runner.hpp
@@ -64,9 +64,12 @@
   void on_remaining_written(const ConnectionPtr& connection, bool failed);
   void watch_body_write(const ConnectionPtr& connection);
   void on_output_written(const ConnectionPtr& connection);
+  void request_body_piece(const ConnectionPtr& connection);
 
   // Completion and failure of attempts.
   ResponseEvents response_events();
+  // Ends an attempt before the last byte of its request was written. The event loop reports it.
+  void fail_unwritten(const ConnectionPtr& connection);
   void on_broken(const ConnectionPtr& connection);
   void complete_without_response(const ConnectionPtr& connection, Outcome outcome,
                                  ConnectionCondition condition);
--- a/src/net/upstream/connection_pool.hpp
+++ b/src/net/upstream/connection_pool.hpp
@@ -61,7 +61,8 @@
   // server how much time is left until then.
   void send(AttemptKey key, const std::string& server, const ForwardedRequest& request,
             Micros deadline);
-  // Sends the next piece of a request's body, in reply to AttemptEvents::on_body_piece_needed.
+  // Sends the next piece of a request's body, in reply to AttemptEvents::on_body_piece_needed. An
+  // attempt that did not request it ends with kConnectFailed.
   void send_body_piece(AttemptKey key, const std::string& piece, bool is_last);
   // Continues reading a response that is delivered in pieces. The caller calls this after it has
   // forwarded the last delivered piece.
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -41,6 +41,7 @@
   }
   output.append("\r\nX-Expires-In: ").append(std::to_string(time_left)).append("u");
   body_incomplete = !request.body_complete;
+  awaits_body_piece = false;
   is_chunked = body_incomplete && !request.content_length;
   const auto length =
       request.body_complete ? request.body.size() : request.content_length.value_or(0);
--- a/src/net/upstream/upstream_connection.hpp
+++ b/src/net/upstream/upstream_connection.hpp
@@ -94,6 +94,9 @@
   bool write_pending = false;
   // Whether further pieces of the request's body follow.
   bool body_incomplete = false;
+  // Whether the next piece of the body was requested and has not arrived. Only then is `output`
+  // completely written, so that a piece may replace it.
+  bool awaits_body_piece = false;
   // Whether the request's body is sent with chunked encoding.
   bool is_chunked = false;
   // Whether the connection broke while `output` was being written.
--- a/tests/net/client/client_session_test.cpp
+++ b/tests/net/client/client_session_test.cpp
@@ -135,6 +135,28 @@
   EXPECT_EQ(owner.closed(), std::vector<ClientId>{kClientId});
 }
 
+// Guards against a body piece that is delivered after the attempt that requested it has failed
+// (review/1).
+TEST_F(ConnectedClientSessionTest, KeepsABodyPieceWhoseRequestWasWithdrawn) {
+  std::vector<std::string> pieces;
+  context.callbacks.on_body_piece = [&](std::uint64_t, const std::string& piece, bool) {
+    pieces.push_back(piece);
+  };
+  send(kValidRequest.substr(0, kValidRequest.find("Content-Length")) +
+       "Content-Length: 70004\r\n\r\n");
+  io.poll();  // else the first read would end within the beginning
+  send(std::string(70'000, 'a'));
+  ASSERT_TRUE(run_until([&] { return !bodies.empty(); }));
+  session->request_body_piece();
+  session->withdraw_body_piece_request();
+  send("rest");
+  ASSERT_TRUE(run_until([&] { return session->buffered_bytes() == 4; }));
+  EXPECT_TRUE(pieces.empty());
+  session->request_body_piece();
+  ASSERT_TRUE(run_until([&] { return !pieces.empty(); }));
+  EXPECT_EQ(pieces, std::vector<std::string>{"rest"});
+}
+
 TEST_F(ConnectedClientSessionTest, RejectsARequestWithATraceIdThatIsInProgress) {
   result_of_on_request = std::nullopt;
   send_request();
--- a/tests/net/upstream/attempt_runner_test.cpp
+++ b/tests/net/upstream/attempt_runner_test.cpp
@@ -102,5 +102,42 @@
   EXPECT_TRUE(results.empty());  // an abandoned attempt reports no result
 }
 
+// Guards against a piece that overwrites the request before it is written (review/1).
+TEST_F(AttemptRunnerTest, WritesNoBodyPieceThatTheAttemptDidNotRequest) {
+  request.body.assign(70'000, 'a');
+  request.body_complete = false;
+  request.content_length = request.body.size() + 4;
+  make_pool();
+  send(1);
+  pool().send_body_piece({1, 0}, "rest", true);  // still connecting
+  EXPECT_TRUE(results.empty());                  // the event loop reports the result
+  ASSERT_TRUE(run_until(io, [&] { return !results.empty(); }));
+  EXPECT_EQ(results[0].second.outcome, Outcome::kConnectFailed);
+  ASSERT_TRUE(run_until(io, [&] { return server.peers.empty() || server.peers[0]->closed; }));
+  EXPECT_TRUE(server.peers.empty() || server.peers[0]->pending.empty());
+}
+
+// Guards against a body with a gap: a piece that is dropped since the beginning is still being
+// written (REPORT.md of the review).
+TEST_F(AttemptRunnerTest, WritesNoBodyPieceWhileTheBeginningIsBeingWritten) {
+  request.body.assign(32 << 20, 'a');  // exceeds the socket's buffers
+  request.body_complete = false;
+  tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  tcp::socket silent_peer(io);
+  acceptor.async_accept(silent_peer, [](error_code) {});
+  make_pool();
+  endpoint_list.endpoints[0].address = acceptor.local_endpoint();
+  pool().update(endpoint_list);
+  send(1);
+  ASSERT_TRUE(run_until(io, [&] {
+    error_code ignored;
+    return silent_peer.is_open() && silent_peer.available(ignored) > 0;
+  }));
+  pool().send_body_piece({1, 0}, "rest", true);
+  io.poll();
+  ASSERT_FALSE(results.empty());
+  EXPECT_EQ(results[0].second.outcome, Outcome::kConnectFailed);
+}
+
 }  // namespace
 }  // namespace quota_gateway::net::testing
