--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -17,6 +17,9 @@
 using boost::system::error_code;
 
 constexpr std::uint32_t kMaxHeaderBytes = 16 << 10;
+// Beast limits heads and bodies. It does not limit the line of a chunk size, whose extensions may
+// have any length, nor the trailers behind the last chunk; both wait in `received` until complete.
+constexpr std::size_t kMaxUnparsedBytes = kMaxHeaderBytes;
 
 }  // namespace
 
@@ -85,6 +88,7 @@
     error_code ec;
     received.erase(0, parser->put(asio::buffer(received), ec));
     if (ec == http::error::need_more) {
+      check_unparsed_size();
       return false;
     }
     if (ec) {
@@ -97,6 +101,12 @@
   return true;
 }
 
+void UpstreamConnection::check_unparsed_size() const {
+  if (received.size() > kMaxUnparsedBytes) {
+    throw HttpError("a chunk header or the trailers of the response are too long");
+  }
+}
+
 // Rejects a response with neither a stated length nor chunked encoding: its end is marked only by
 // the end of the connection, so a complete response cannot be distinguished from a truncated one.
 void UpstreamConnection::check_head() {
--- a/src/net/upstream/upstream_connection.hpp
+++ b/src/net/upstream/upstream_connection.hpp
@@ -106,7 +106,7 @@
 
   // Response state.
   bool read_pending = false;  // a wait for the socket to be readable is pending
-  // Received bytes that were not parsed yet.
+  // Received bytes that were not parsed yet. At most the limits of parse_received() and one read.
   std::string received;
   std::optional<ResponseParser> parser;
   Delivery delivery = Delivery::kBuffered;
@@ -125,6 +125,7 @@
 
  private:
   void check_head();
+  void check_unparsed_size() const;
 };
 
 using UpstreamConnectionPtr = std::shared_ptr<UpstreamConnection>;
--- a/tests/net/server/large_message_test.cpp
+++ b/tests/net/server/large_message_test.cpp
@@ -142,6 +142,23 @@
   }
 }
 
+// Guards against a gateway that keeps all bytes of a chunk extension without an end (review/2),
+// here in a response whose beginning the client already has.
+TEST_F(LargeMessages, AChunkHeaderThatNeverEndsEndsTheResponse) {
+  const std::string beginning = patterned_body(200'000);
+  SteadyWriter writer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(beginning) +
+                      "5;" + std::string(32 << 20, 'x'));
+  server1.on_request = [&](PeerConnection& connection, const HttpRequest&) {
+    writer.start(connection.shared_from_this());
+  };
+  test_bed.start();
+  Client client = test_bed.client();
+  client.send(get_request("t"));
+  EXPECT_FALSE(receive_long(test_bed.io, client));
+  EXPECT_FALSE(writer.is_done());
+  EXPECT_TRUE(has_stat("app.replies.profile-read.error=1"));
+}
+
 TEST_F(LargeMessages, ChunkedResponseWithTrailersArrivesComplete) {
   const std::string body = patterned_body(300'000);
   server1.on_request = [&](PeerConnection& connection, const HttpRequest&) {
--- a/tests/net/upstream/response_reader_test.cpp
+++ b/tests/net/upstream/response_reader_test.cpp
@@ -3,10 +3,12 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <optional>
 #include <string>
 
 #include "connection_pool_fixture.hpp"
+#include "support/steady_writer.hpp"
 
 namespace quota_gateway::net::testing {
 namespace {
@@ -131,6 +133,32 @@
   EXPECT_EQ(outcome_of_response(many), Outcome::kReset);
 }
 
+// Guards against a gateway that keeps all bytes of a response part that never ends (review/2).
+TEST_F(ResponseReaderTest, FailsTheAttemptOnAPartThatNeverEnds) {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::deque<SteadyWriter> writers;
+  for (const std::string& part :
+       {head + "5;", head + "5;a=\"", head + std::string(100, '0'),
+        head + "4\r\ngood\r\n0\r\nX: ", std::string("HTTP/1.1 200 OK\r\nX: ")}) {
+    SteadyWriter& writer = writers.emplace_back(part + std::string(32 << 20, '0'));
+    server.on_request = [&](PeerConnection& peer, const HttpRequest&) {
+      writer.start(peer.shared_from_this());
+    };
+    make_pool();
+    EXPECT_EQ(run_attempt(1).outcome, Outcome::kReset) << part;
+    EXPECT_TRUE(run_until(io, [&] { return server.peers.back()->closed; })) << part;
+    EXPECT_FALSE(writer.is_done()) << part;
+  }
+}
+
+// The limit on unfinished parts leaves room for long ones.
+TEST_F(ResponseReaderTest, AcceptsLongChunkExtensionsAndTrailers) {
+  const std::string filler(8 << 10, 'x');
+  EXPECT_EQ(outcome_of_response("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;name=" +
+                                filler + "\r\ngood\r\n0\r\nX-Sum: " + filler + "\r\n\r\n"),
+            Outcome::kOk);
+}
+
 TEST_F(ResponseReaderTest, IgnoresALoadReportThatCannotBeParsed) {
   for (const char* report :
        {"TEXT queue=2, util=oops", "TEXT queue=-1", "TEXT queue=nan", "TEXT queue=1e99",
