End an attempt whose long response comes before the request is complete

Change: once the response is longer than what is buffered (64 KiB), the attempt ends as it did at the end of such a response: kOverloaded if the server rejected it, else kConnectFailed. A server runs a request after its last byte, which was not written. Short early responses are unchanged.

ALongResponseBeforeTheEndOfTheBodyIsNotKept failed before (32 MiB were taken) and passes.

--- a/src/net/upstream/response_reader.cpp
+++ b/src/net/upstream/response_reader.cpp
@@ -43,6 +43,11 @@
   return std::max(received_size, stated_size) > kMaxBufferedBodyBytes;
 }
 
+// Returns whether the head of the final response is parsed.
+bool is_final_head_done(UpstreamConnection& connection) {
+  return connection.parser->is_header_done() && !is_interim(connection.parser->get());
+}
+
 AttemptResult take_attempt_result(UpstreamConnection& connection) {
   return take_result(connection.parser->get(), connection.first_byte_at);
 }
@@ -143,9 +148,19 @@
   }
   if (!connection->body_incomplete) {
     deliver_part(connection);
+  } else if (is_final_head_done(*connection) && is_long(*connection->parser)) {
+    on_early_response(connection);
   }
 }
 
+// A server begins to run a request after its last byte, so it has not run this one. Nothing of its
+// response can be delivered, and a long one must not be kept until the request is complete.
+void ResponseReader::on_early_response(const ConnectionPtr& connection) {
+  const bool is_overloaded = outcome_of(connection->parser->get()) == Outcome::kOverloaded;
+  response_events_.on_failed(connection,
+                             is_overloaded ? Outcome::kOverloaded : Outcome::kConnectFailed);
+}
+
 // Schedules a check that fails the attempt if the response stalls. A response with a stated length
 // that is too large never completes; if the attempt waited for it until the request's deadline, no
 // time would be left for another attempt. A response that is merely slow keeps arriving and passes
@@ -176,7 +191,7 @@
 
 bool ResponseReader::deliver_part(const ConnectionPtr& connection) {
   auto& parser = *connection->parser;
-  if (!parser.is_header_done() || is_interim(parser.get())) {
+  if (!is_final_head_done(*connection)) {
     return false;
   }
   if (is_streaming(*connection)) {
@@ -215,10 +230,7 @@
 
 void ResponseReader::on_response_complete(const ConnectionPtr& connection) {
   if (connection->body_incomplete) {
-    // A server that rejects a request before it has received all of it has not run the request.
-    const bool is_overloaded = outcome_of(connection->parser->get()) == Outcome::kOverloaded;
-    return response_events_.on_failed(
-        connection, is_overloaded ? Outcome::kOverloaded : Outcome::kConnectFailed);
+    return on_early_response(connection);
   }
   receive_trailing_bytes(connection);
   if (connection->may_be_truncated()) {
--- a/src/net/upstream/response_reader.hpp
+++ b/src/net/upstream/response_reader.hpp
@@ -55,6 +55,8 @@
   void on_readable(const ConnectionPtr& connection, boost::system::error_code error);
   void on_received(const ConnectionPtr& connection, std::size_t size);
   void process_received(const ConnectionPtr& connection, bool is_first_part);
+  // Ends an attempt whose response came before the request was completely written.
+  void on_early_response(const ConnectionPtr& connection);
 
   // Stall detection: fails the attempt if its response stops arriving.
   void watch_progress(const ConnectionPtr& connection);
--- a/tests/net/server/large_message_test.cpp
+++ b/tests/net/server/large_message_test.cpp
@@ -247,6 +247,31 @@
   EXPECT_TRUE(server1.requests.empty());
 }
 
+// Guards against a gateway that keeps up to 48 MiB of a response to a request whose body is still
+// arriving.
+TEST_F(LargeMessages, ALongResponseBeforeTheEndOfTheBodyIsNotKept) {
+  SteadyWriter writer(http_response("200 OK", "", std::string(32 << 20, 'x')));
+  bool has_responded = false;
+  server1.on_incomplete_request = [&](PeerConnection& connection, const std::string& input) {
+    if (!has_responded && input.size() > kMaxBufferedBodyBytes) {
+      has_responded = true;
+      writer.start(connection.shared_from_this());
+    }
+  };
+  test_bed.start();
+  Client client = test_bed.client();
+  client.send(post_head("Content-Length: 500000") + std::string(200'000, 'x'));
+  ASSERT_TRUE(test_bed.run_until(
+      [&] { return writer.is_done() || (has_responded && server1.peers[0]->closed); }));
+  EXPECT_FALSE(writer.is_done());
+  // The request gets its answer: from another attempt, or a rejection if a part of the body behind
+  // the beginning had been forwarded.
+  client.send(std::string(300'000, 'x'));
+  const auto response = client.receive();
+  ASSERT_TRUE(response);
+  EXPECT_TRUE(response->result_int() == 200 || response->result_int() == 503);
+}
+
 TEST_F(LargeMessages, AnswersExpectContinue) {
   constexpr std::string_view kInterimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
   server1.on_request = [](PeerConnection& connection, const HttpRequest&) {
