--- a/src/net/server/gateway_server.hpp
+++ b/src/net/server/gateway_server.hpp
@@ -77,7 +77,6 @@
   Gateway gateway_;
   EventBatcher events_;
   ActionExecutor executor_;
-  RequestTable requests_;
   RequestFinisher finisher_;
   AttemptReporter reporter_;
   RequestDeadlines deadlines_;
@@ -85,6 +84,7 @@
   RequestDispatcher dispatcher_;
   EndpointListApplier endpoint_lists_;
   ConnectionPool pool_;
+  RequestTable requests_;  // owns attempts of the pool
   boost::asio::ip::tcp::endpoint discovery_address_;
   std::optional<boost::asio::ip::tcp::endpoint> counter_address_;
   DiscoveryClient discovery_;
--- a/src/net/server/request_deadlines.cpp
+++ b/src/net/server/request_deadlines.cpp
@@ -15,7 +15,6 @@
     std::function<void(AttemptKey, AttemptResult)> on_attempt_expired)
     : loop_(loop),
       requests_(collaborators.requests),
-      pool_(collaborators.pool),
       clients_(collaborators.clients),
       events_(collaborators.events),
       finisher_(collaborators.finisher),
@@ -39,7 +38,7 @@
     return;
   }
   Request& request = entry->second;
-  const Attempt& attempt = request.attempt(key.attempt);
+  Attempt& attempt = request.attempt(key.attempt);
   if (!attempt.in_flight) {
     return;
   }
@@ -47,7 +46,7 @@
   if (!request.body_complete || loop_.clock.now() < attempt.deadline) {
     return;
   }
-  const bool written = pool_.abandon(key);
+  const bool written = attempt.handle.abandon();
   const Outcome outcome = written ? Outcome::kTimeout : Outcome::kConnectFailed;
   on_attempt_expired_(key, result_without_response(outcome));
 }
--- a/src/net/server/request_deadlines.hpp
+++ b/src/net/server/request_deadlines.hpp
@@ -12,7 +12,7 @@
 #include "net/server/event_batcher.hpp"
 #include "net/server/request_finisher.hpp"
 #include "net/server/request_table.hpp"
-#include "net/upstream/connection_pool.hpp"
+#include "net/upstream/attempt.hpp"
 #include "quota_gateway/time.hpp"
 
 namespace quota_gateway::net {
@@ -28,7 +28,6 @@
   // object, but before the first call.
   struct Collaborators {
     RequestTable& requests;
-    ConnectionPool& pool;
     ClientListener& clients;
     EventBatcher& events;
     RequestFinisher& finisher;
@@ -62,7 +61,6 @@
 
   EventLoop loop_;
   RequestTable& requests_;
-  ConnectionPool& pool_;
   ClientListener& clients_;
   EventBatcher& events_;
   RequestFinisher& finisher_;
--- a/src/net/server/request_dispatcher.cpp
+++ b/src/net/server/request_dispatcher.cpp
@@ -79,10 +79,8 @@
   if (!finisher_.try_finish(request, RequestOutcome::kError)) {
     return;
   }
-  if (request.response_started) {
-    // For the decision module the request ended when its response began.
-    pool_.abandon({id, request.latest_attempt()});
-  } else {
+  // For the decision module the request ended when its response began.
+  if (!request.response_started) {
     events_.push(ClientDisconnected{std::to_string(id)});
   }
   requests_.remove_if_done(entry);
@@ -152,7 +150,7 @@
   attempt.time_limit = deadline - now;
   attempt.deadline = deadline;
   deadlines_.schedule_attempt_expiry(key, deadline);
-  pool_.send(key, action.server, request.forwarded, deadline);
+  attempt.handle = pool_.send(key, action.server, request.forwarded, deadline);
 }
 
 // The client may have disconnected since the events behind this action were reported, and a request
@@ -173,7 +171,7 @@
     return;
   }
   const AttemptKey key{entry->first, action.attempt};
-  const bool written = pool_.abandon(key);
+  const bool written = request.attempt(action.attempt).handle.abandon();
   on_attempt_complete(key,
                       result_without_response(written ? Outcome::kCancelled : Outcome::kNotSent));
 }
--- a/src/net/server/request_table.hpp
+++ b/src/net/server/request_table.hpp
@@ -12,6 +12,7 @@
 #include "net/client/client_listener.hpp"
 #include "net/http/forwarded_request.hpp"
 #include "net/server/gateway_stats.hpp"
+#include "net/upstream/attempt_handle.hpp"
 #include "quota_gateway/gateway.hpp"
 
 namespace quota_gateway::net {
@@ -22,7 +23,10 @@
   Micros sent_at = 0;
   Micros time_limit = 0;
   Micros deadline = 0;
+  // Whether the result was not reported to the decision module yet.
   bool in_flight = true;
+  // The attempt in the connection pool. Ends with the request, also while it delivers a response.
+  AttemptHandle handle;
 };
 
 struct Request {
@@ -65,7 +69,7 @@
   // Finds a request by the decimal id that the decision module uses.
   Iterator find(const std::string& decimal_id);
   // Removes the request and invalidates the iterator if the request is finished and none of its
-  // attempts is in flight.
+  // attempts is in flight. An attempt that still delivers its response is abandoned.
   void remove_if_done(Iterator request);
 
   bool contains(std::uint64_t id) const { return requests_.contains(id); }
--- /dev/null
+++ b/src/net/upstream/attempt_handle.hpp
@@ -0,0 +1,34 @@
+// Ownership of an attempt that a ConnectionPool runs. The request that the attempt belongs to holds
+// the handle, so an attempt cannot outlive its request and occupy a connection.
+#pragma once
+
+#include "net/upstream/attempt.hpp"
+
+namespace quota_gateway::net {
+
+class AttemptRunner;
+
+// Owns one attempt and abandons it at the end of the handle's lifetime. Has no effect on an attempt
+// that has ended. The pool must outlive the handle.
+class AttemptHandle {
+ public:
+  // Owns no attempt.
+  AttemptHandle() = default;
+  AttemptHandle(AttemptRunner& runner, AttemptKey key);
+  AttemptHandle(AttemptHandle&& other) noexcept;
+  AttemptHandle& operator=(AttemptHandle&& other) noexcept;
+  ~AttemptHandle();
+
+  // Ends the attempt and resets its connection; no event for the attempt follows. Returns whether
+  // the last byte of the request may have been written; false if the attempt has ended before.
+  bool abandon();
+
+  // Whether the attempt occupies a connection.
+  bool has_connection() const;
+
+ private:
+  AttemptRunner* runner_ = nullptr;  // null: no attempt
+  AttemptKey key_;
+};
+
+}  // namespace quota_gateway::net
--- a/src/net/upstream/attempt_runner.hpp
+++ b/src/net/upstream/attempt_runner.hpp
@@ -49,10 +49,11 @@
   // Reports the failure of an attempt that has no connection. The event loop delivers the report.
   void fail_unassigned(AttemptKey key, Outcome outcome);
 
-  // See the functions of the same names in ConnectionPool.
+  // See the functions of the same names in ConnectionPool and AttemptHandle.
   void send_body_piece(AttemptKey key, const std::string& piece, bool is_last);
   void resume(AttemptKey key);
   bool abandon(AttemptKey key);
+  bool has_connection(AttemptKey key) const { return attempts_.contains(key); }
 
  private:
   using ConnectionPtr = UpstreamConnectionPtr;
--- a/src/net/upstream/connection_pool.cpp
+++ b/src/net/upstream/connection_pool.cpp
@@ -65,8 +65,14 @@
   }
 }
 
-void ConnectionPool::send(AttemptKey key, const std::string& server,
-                          const ForwardedRequest& request, Micros deadline) {
+AttemptHandle ConnectionPool::send(AttemptKey key, const std::string& server,
+                                   const ForwardedRequest& request, Micros deadline) {
+  start_attempt(key, server, request, deadline);
+  return {attempts_, key};
+}
+
+void ConnectionPool::start_attempt(AttemptKey key, const std::string& server,
+                                   const ForwardedRequest& request, Micros deadline) {
   const auto endpoint = endpoints_.find(server);
   if (!endpoint || !endpoint->up) {
     return attempts_.fail_unassigned(key, Outcome::kNotSent);
@@ -95,10 +101,6 @@
   attempts_.resume(key);
 }
 
-bool ConnectionPool::abandon(AttemptKey key) {
-  return attempts_.abandon(key);
-}
-
 ConnectionPool::ConnectionPtr ConnectionPool::take_idle(const std::string& server) {
   const Micros now = clock_.now();
   while (true) {
--- a/src/net/upstream/connection_pool.hpp
+++ b/src/net/upstream/connection_pool.hpp
@@ -1,8 +1,8 @@
 // Manages the connections to servers: opens up to a maximum number of connections, keeps idle ones
 // for reuse, and closes idle connections to servers that were removed, moved or restarted.
 // AttemptRunner runs the attempts on the connections. ConnectionPool also owns the table of
-// endpoints that attempts can be sent to. GatewayServer owns the pool; RequestDispatcher starts and
-// abandons attempts, and EndpointListApplier applies endpoint lists.
+// endpoints that attempts can be sent to. GatewayServer owns the pool; RequestDispatcher starts
+// attempts, requests own them, and EndpointListApplier applies endpoint lists.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -15,6 +15,7 @@
 #include "net/event_loop/timers.hpp"
 #include "net/http/forwarded_request.hpp"
 #include "net/upstream/attempt.hpp"
+#include "net/upstream/attempt_handle.hpp"
 #include "net/upstream/attempt_runner.hpp"
 #include "net/upstream/idle_connections.hpp"
 #include "net/upstream/idle_reuse_estimator.hpp"
@@ -56,20 +57,17 @@
   // were removed because another server now has their address.
   std::vector<std::string> update(const EndpointList& list);
 
-  // Starts an attempt. Unless the attempt is abandoned, AttemptEvents::on_complete follows, but not
-  // from within this call. `deadline` is an absolute time of the clock; the request tells the
-  // server how much time is left until then.
-  void send(AttemptKey key, const std::string& server, const ForwardedRequest& request,
-            Micros deadline);
+  // Starts an attempt, which ends at the latest with the returned handle. Unless the attempt is
+  // abandoned, AttemptEvents::on_complete follows, but not from within this call. `deadline` is an
+  // absolute time of the clock; the request tells the server how much time is left until then.
+  [[nodiscard]] AttemptHandle send(AttemptKey key, const std::string& server,
+                                   const ForwardedRequest& request, Micros deadline);
   // Sends the next piece of a request's body, in reply to AttemptEvents::on_body_piece_needed. An
   // attempt that did not request it ends with kConnectFailed.
   void send_body_piece(AttemptKey key, const std::string& piece, bool is_last);
   // Continues reading a response that is delivered in pieces. The caller calls this after it has
   // forwarded the last delivered piece.
   void resume(AttemptKey key);
-  // Ends an attempt and resets its connection; no event for the attempt follows. Returns whether
-  // the last byte of the request may have been written.
-  bool abandon(AttemptKey key);
 
   // The number of listed servers, and whether at least one of them is up.
   std::size_t endpoint_count() const { return endpoints_.size(); }
@@ -84,6 +82,9 @@
 
   // Opening and reusing connections.
   ConnectionPtr take_idle(const std::string& server);
+  // Starts an attempt, or reports that it cannot be sent.
+  void start_attempt(AttemptKey key, const std::string& server, const ForwardedRequest& request,
+                     Micros deadline);
   // Returns null if the maximum number of connections is reached and none is idle.
   ConnectionPtr create(const std::string& server, const EndpointStatus& endpoint);
   void connect(const ConnectionPtr& connection);
--- a/tests/net/server/large_message_test.cpp
+++ b/tests/net/server/large_message_test.cpp
@@ -159,6 +159,32 @@
   EXPECT_TRUE(has_stat("app.replies.profile-read.error=1"));
 }
 
+// Guards against a connection that is never released if the client leaves as its long response
+// begins (review/3). The response arrives each number of handlers after the client has left.
+TEST_F(LargeMessages, ResponseToAClientThatLeavesReleasesItsConnection) {
+  constexpr int kMaxSteps = 10;
+  std::shared_ptr<PeerConnection> connection;
+  server1.on_request = [&](PeerConnection& peer, const HttpRequest&) {
+    connection = peer.shared_from_this();
+  };
+  test_bed.start();
+  for (int steps = 0; steps < kMaxSteps; ++steps) {
+    SCOPED_TRACE(std::to_string(steps) + " steps");
+    connection = nullptr;
+    Client client = test_bed.client();
+    client.send(get_request(prefixed_number("t", steps)));
+    ASSERT_TRUE(test_bed.run_until([&] { return connection != nullptr; }));
+    client.socket.close();
+    for (int step = 0; step < steps; ++step) {
+      test_bed.io.restart();
+      test_bed.io.poll_one();
+    }
+    connection->write(http_response("200 OK", "", std::string(100'000, 'x')));
+    ASSERT_TRUE(test_bed.run_until([&] { return connection->closed; }));
+  }
+  ASSERT_TRUE(test_bed.run_until([&] { return has_stat("app.concurrent=0"); }));
+}
+
 TEST_F(LargeMessages, ChunkedResponseWithTrailersArrivesComplete) {
   const std::string body = patterned_body(300'000);
   server1.on_request = [&](PeerConnection& connection, const HttpRequest&) {
--- a/tests/net/upstream/attempt_runner_test.cpp
+++ b/tests/net/upstream/attempt_runner_test.cpp
@@ -94,14 +94,25 @@
   server.on_request = [](PeerConnection&, const HttpRequest&) {};
   make_pool();
   send(1);
-  EXPECT_FALSE(pool().abandon({1, 0}));  // still connecting
+  EXPECT_FALSE(attempts[1].abandon());  // still connecting
   send(2);
   ASSERT_TRUE(run_until(io, [&] { return !server.requests.empty(); }));
-  EXPECT_TRUE(pool().abandon({2, 0}));
+  EXPECT_TRUE(attempts[2].abandon());
   ASSERT_TRUE(run_until(io, [&] { return server.peers.back()->closed; }));
   EXPECT_TRUE(results.empty());  // an abandoned attempt reports no result
 }
 
+// Guards against an attempt that occupies its connection after its request has gone (review/3).
+TEST_F(AttemptRunnerTest, AnAttemptEndsWithItsHandle) {
+  server.on_request = [](PeerConnection&, const HttpRequest&) {};
+  make_pool();
+  send(1);
+  ASSERT_TRUE(run_until(io, [&] { return !server.requests.empty(); }));
+  attempts.erase(1);
+  ASSERT_TRUE(run_until(io, [&] { return server.peers.back()->closed; }));
+  EXPECT_TRUE(results.empty());
+}
+
 // Guards against a piece that overwrites the request before it is written (review/1).
 TEST_F(AttemptRunnerTest, WritesNoBodyPieceThatTheAttemptDidNotRequest) {
   request.body.assign(70'000, 'a');
--- a/tests/net/upstream/connection_pool_fixture.hpp
+++ b/tests/net/upstream/connection_pool_fixture.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -56,6 +57,8 @@
   std::vector<std::pair<AttemptKey, AttemptResult>> results;
   // The current pool is the last. Earlier pools stay alive because their handlers may still run.
   std::deque<ConnectionPool> pools;
+  // The attempts that were sent, by number.
+  std::map<std::uint64_t, AttemptHandle> attempts;
 };
 
 }  // namespace quota_gateway::net::testing
