Report connections by state and unowned attempts in /ops/stats

Six lines are new, app.upstream.*: open, idle, connecting, writing, waiting, and the attempts that no request owns, which must be 0. StatsCountTheConnectionsByState checks them in each state; ResponseToAClientThatLeavesReleasesItsConnection checks that none is open afterwards.

--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -186,7 +186,10 @@
   EndpointCounts endpoints;
   endpoints.listed = pool_.endpoint_count();
   endpoints.unavailable = std::size_t(gateway_.unavailable_endpoints());
-  return stats_.render(endpoints);
+  UpstreamCounts upstream;
+  upstream.connections = pool_.connection_counts();
+  upstream.owned_attempts = requests_.attempts_with_connection();
+  return stats_.render(endpoints, upstream);
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/server/gateway_stats.cpp
+++ b/src/net/server/gateway_stats.cpp
@@ -7,6 +7,17 @@
   text.append("app.").append(name).append("=").append(std::to_string(value)).append("\n");
 }
 
+void append_upstream(std::string& text, const UpstreamCounts& upstream) {
+  const AttemptRunner::Counts& in_use = upstream.connections.in_use;
+  const std::size_t attempts = in_use.connecting + in_use.writing + in_use.waiting;
+  append_line(text, "upstream.open", upstream.connections.open);
+  append_line(text, "upstream.idle", upstream.connections.idle);
+  append_line(text, "upstream.connecting", in_use.connecting);
+  append_line(text, "upstream.writing", in_use.writing);
+  append_line(text, "upstream.waiting", in_use.waiting);
+  append_line(text, "upstream.unowned", attempts - upstream.owned_attempts);
+}
+
 }  // namespace
 
 void GatewayStats::add_classes(const std::vector<ClassSettings>& classes) {
@@ -47,7 +58,8 @@
   }
 }
 
-std::string GatewayStats::render(const EndpointCounts& endpoints) const {
+std::string GatewayStats::render(const EndpointCounts& endpoints,
+                                 const UpstreamCounts& upstream) const {
   std::string text;
   for (const auto& [request_class, counts] : responses_by_class_) {
     append_line(text, "replies." + request_class + ".success", counts.success);
@@ -60,6 +72,7 @@
   append_line(text, "targets_disabled", endpoints.unavailable);
   append_line(text, "reload_success", reloads_applied_);
   append_line(text, "reload_failure", reloads_rejected_);
+  append_upstream(text, upstream);
   return text;
 }
 
--- a/src/net/server/gateway_stats.hpp
+++ b/src/net/server/gateway_stats.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "net/upstream/connection_pool.hpp"
 #include "quota_gateway/gateway.hpp"
 
 namespace quota_gateway::net {
@@ -31,6 +32,12 @@
   std::size_t unavailable = 0;  // draining, or failed and without a response since
 };
 
+// Connections to servers.
+struct UpstreamCounts {
+  ConnectionCounts connections;
+  std::size_t owned_attempts = 0;  // attempts with a connection that a request owns
+};
+
 enum class ReloadResult { kApplied, kRejected };
 
 class GatewayStats {
@@ -48,7 +55,7 @@
   void on_reload(ReloadResult result);
 
   // All metrics, one line each: `app.NAME=VALUE`.
-  std::string render(const EndpointCounts& endpoints) const;
+  std::string render(const EndpointCounts& endpoints, const UpstreamCounts& upstream) const;
 
  private:
   std::map<std::string, ResponseCounts> responses_by_class_;
--- a/src/net/server/request_table.cpp
+++ b/src/net/server/request_table.cpp
@@ -33,4 +33,14 @@
                      [](const auto& entry) { return entry.second.finished; });
 }
 
+std::size_t RequestTable::attempts_with_connection() const {
+  std::size_t count = 0;
+  for (const auto& [id, request] : requests_) {
+    count += std::size_t(
+        std::count_if(request.attempts.begin(), request.attempts.end(),
+                      [](const Attempt& attempt) { return attempt.handle.has_connection(); }));
+  }
+  return count;
+}
+
 }  // namespace quota_gateway::net
--- a/src/net/server/request_table.hpp
+++ b/src/net/server/request_table.hpp
@@ -76,6 +76,8 @@
   Iterator begin() { return requests_.begin(); }
   Iterator end() { return requests_.end(); }
   bool all_finished() const;
+  // The number of attempts that occupy a connection.
+  std::size_t attempts_with_connection() const;
 
  private:
   Requests requests_;
--- a/src/net/upstream/attempt_runner.cpp
+++ b/src/net/upstream/attempt_runner.cpp
@@ -107,6 +107,27 @@
   return was_written;
 }
 
+AttemptRunner::Counts AttemptRunner::counts() const {
+  Counts counts;
+  for (const auto& [key, connection] : attempts_) {
+    switch (connection->state) {
+      case State::kConnecting:
+        ++counts.connecting;
+        break;
+      case State::kWriting:
+        ++counts.writing;
+        break;
+      case State::kWaiting:
+        ++counts.waiting;
+        break;
+      case State::kIdle:
+      case State::kClosed:
+        break;  // such a connection has no attempt
+    }
+  }
+  return counts;
+}
+
 void AttemptRunner::write_remaining(const ConnectionPtr& connection, std::size_t offset) {
   connection->write_pending = true;
   const auto remaining = asio::buffer(connection->output) + offset;
--- a/src/net/upstream/attempt_runner.hpp
+++ b/src/net/upstream/attempt_runner.hpp
@@ -32,6 +32,13 @@
 // Runs all attempts of one ConnectionPool, at most one at a time on each connection.
 class AttemptRunner {
  public:
+  // The attempts that have a connection, by its state.
+  struct Counts {
+    std::size_t connecting = 0;
+    std::size_t writing = 0;
+    std::size_t waiting = 0;
+  };
+
   AttemptRunner(boost::asio::io_context& io, Timers& timers, const Clock& clock,
                 AttemptEvents attempt_events, ConnectionEvents connection_events);
   AttemptRunner(const AttemptRunner&) = delete;
@@ -54,6 +61,7 @@
   void resume(AttemptKey key);
   bool abandon(AttemptKey key);
   bool has_connection(AttemptKey key) const { return attempts_.contains(key); }
+  Counts counts() const;
 
  private:
   using ConnectionPtr = UpstreamConnectionPtr;
--- a/src/net/upstream/connection_pool.cpp
+++ b/src/net/upstream/connection_pool.cpp
@@ -101,6 +101,10 @@
   attempts_.resume(key);
 }
 
+ConnectionCounts ConnectionPool::connection_counts() const {
+  return {.open = open_connections_, .idle = idle_.size(), .in_use = attempts_.counts()};
+}
+
 ConnectionPool::ConnectionPtr ConnectionPool::take_idle(const std::string& server) {
   const Micros now = clock_.now();
   while (true) {
--- a/src/net/upstream/connection_pool.hpp
+++ b/src/net/upstream/connection_pool.hpp
@@ -37,6 +37,13 @@
   Micros reuse_delay = 10'000;
 };
 
+// The connections of a pool.
+struct ConnectionCounts {
+  std::size_t open = 0;  // in any state
+  std::size_t idle = 0;
+  AttemptRunner::Counts in_use;
+};
+
 // The pool of connections to all servers.
 class ConnectionPool {
  public:
@@ -73,6 +80,8 @@
   std::size_t endpoint_count() const { return endpoints_.size(); }
   bool has_endpoint_up() const { return endpoints_.up_count() > 0; }
 
+  ConnectionCounts connection_counts() const;
+
   // Changes the maximum number of connections. Closes idle connections that exceed it.
   void set_max_connections(std::size_t max_connections);
 
--- a/src/net/upstream/idle_connections.cpp
+++ b/src/net/upstream/idle_connections.cpp
@@ -21,6 +21,14 @@
   }
 }
 
+std::size_t IdleConnections::size() const {
+  std::size_t size = 0;
+  for (const auto& [server, connections] : by_server_) {
+    size += connections.size();
+  }
+  return size;
+}
+
 UpstreamConnectionPtr IdleConnections::most_recent(const std::string& server,
                                                    Micros idle_cutoff) const {
   const auto entry = by_server_.find(server);
--- a/src/net/upstream/idle_connections.hpp
+++ b/src/net/upstream/idle_connections.hpp
@@ -24,6 +24,8 @@
   // Returns the connection that has been idle longest, or null if there is none.
   UpstreamConnectionPtr oldest() const;
 
+  // Returns the number of connections to all servers.
+  std::size_t size() const;
   // Returns all connections to `server`.
   std::vector<UpstreamConnectionPtr> to_server(const std::string& server) const;
   // Returns all connections that became idle at or before `idle_cutoff`.
--- a/tests/net/server/large_message_test.cpp
+++ b/tests/net/server/large_message_test.cpp
@@ -183,6 +183,28 @@
     ASSERT_TRUE(test_bed.run_until([&] { return connection->closed; }));
   }
   ASSERT_TRUE(test_bed.run_until([&] { return has_stat("app.concurrent=0"); }));
+  EXPECT_TRUE(has_stat("app.upstream.open=0"));
+}
+
+TEST_F(LargeMessages, StatsCountTheConnectionsByState) {
+  std::shared_ptr<PeerConnection> connection;
+  server1.on_request = [&](PeerConnection& peer, const HttpRequest&) {
+    connection = peer.shared_from_this();
+  };
+  test_bed.start();
+  EXPECT_TRUE(has_stat("app.upstream.open=0"));
+  Client client = test_bed.client();
+  client.send(get_request("t"));
+  ASSERT_TRUE(test_bed.run_until([&] { return connection != nullptr; }));
+  EXPECT_TRUE(has_stat("app.upstream.waiting=1"));
+  connection->write(http_response("200 OK", "", std::string(100'000, 'x')));
+  EXPECT_TRUE(receive_long(test_bed.io, client));
+  ASSERT_TRUE(test_bed.run_until([&] { return has_stat("app.upstream.idle=1"); }));
+  EXPECT_TRUE(has_stat("app.upstream.open=1"));
+  EXPECT_TRUE(has_stat("app.upstream.unowned=0"));
+  client.send(post_head("Content-Length: 500000") + std::string(200'000, 'x'));
+  ASSERT_TRUE(test_bed.run_until([&] { return has_stat("app.upstream.writing=1"); }));
+  EXPECT_TRUE(has_stat("app.upstream.unowned=0"));
 }
 
 TEST_F(LargeMessages, ChunkedResponseWithTrailersArrivesComplete) {
