--- a/src/net/upstream/response_reader.cpp
+++ b/src/net/upstream/response_reader.cpp
@@ -155,7 +155,7 @@
 
 // A server begins to run a request after its last byte, so it has not run this one. Nothing of its
 // response can be delivered, and a long one must not be kept until the request is complete.
-void ResponseReader::on_early_response(const ConnectionPtr& connection) {
+void ResponseReader::on_early_response(const ConnectionPtr& connection) const {
   const bool is_overloaded = outcome_of(connection->parser->get()) == Outcome::kOverloaded;
   response_events_.on_failed(connection,
                              is_overloaded ? Outcome::kOverloaded : Outcome::kConnectFailed);
--- a/src/net/upstream/response_reader.hpp
+++ b/src/net/upstream/response_reader.hpp
@@ -56,7 +56,7 @@
   void on_received(const ConnectionPtr& connection, std::size_t size);
   void process_received(const ConnectionPtr& connection, bool is_first_part);
   // Ends an attempt whose response came before the request was completely written.
-  void on_early_response(const ConnectionPtr& connection);
+  void on_early_response(const ConnectionPtr& connection) const;
 
   // Stall detection: fails the attempt if its response stops arriving.
   void watch_progress(const ConnectionPtr& connection);
