--- a/review/standins-2/stage.hpp
+++ b/review/standins-2/stage.hpp
@@ -1,6 +1,6 @@
 // What the cases of the second review share: the gateway as a process of its own, and stand-ins for
-// clients, servers, discovery and the counter. They follow PROTOCOL-spanstair.md. Every address is a
-// loopback address. All calls block; each connection of a stand-in has its own thread.
+// clients, servers, discovery and the counter. They follow PROTOCOL-spanstair.md. Every address is
+// a loopback address. All calls block; each connection of a stand-in has its own thread.
 #pragma once
 
 #include <sys/types.h>
