Let the memory of received bytes follow the bytes that are held

With 330 clients that send requests ahead, reaches 38 to 43 MB of 32.

Cause: input was held in strings. A string doubles its capacity when it grows, also in reserve(), so that bodies did not grow in steps as intended; and removing what is parsed frees nothing until the string is empty. The limit on input read ahead counted the bytes and not the memory: 341 clients whose 60 KB were parsed one request at a time held the memory of all of it. The limit was 4 MiB, whatever memory the process had.

Change: ReceiveBuffer grows by what arrives and gives memory back as bytes are consumed, 4 KiB at most unused. The limit on input read ahead counts its memory and is a sixteenth of memory_mb, 4 MiB at most. A body grows in steps of 4 KiB.

release_if_empty() has no caller left.

--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -131,8 +131,8 @@
   accept();
 }
 
-std::size_t ClientListener::buffered_bytes() const {
-  return sessions_.buffered_bytes();
+std::size_t ClientListener::allocated_input_bytes() const {
+  return sessions_.allocated_input_bytes();
 }
 
 void ClientListener::enforce_timeouts() {
--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -83,7 +83,7 @@
  private:
   void on_session_closed(ClientId client) override;
   void on_session_idle() override;
-  std::size_t buffered_bytes() const override;
+  std::size_t allocated_input_bytes() const override;
 
   void accept();
   void on_accepted(boost::system::error_code ec, boost::asio::ip::tcp::socket socket);
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -23,11 +23,10 @@
 
 // A session with no more unparsed bytes than this continues to read in any state.
 constexpr std::size_t kMaxBufferedBytes = 4 << 10;
-// Limits on unparsed bytes while a request awaits its response, for one session and for all
-// sessions together. They are higher because a session notices the end of its connection by reading
-// all the input that its client has sent ahead.
+// Limit on unparsed bytes while a request awaits its response. It is higher because a session
+// notices the end of its connection by reading all the input that its client has sent ahead. See
+// also BufferLimits::max_total_read_ahead_bytes.
 constexpr std::size_t kMaxBufferedBytesAwaitingResponse = 512 << 10;
-constexpr std::size_t kMaxTotalBufferedBytes = 4 << 20;
 
 // Size of the socket's send buffer for a streamed response. With megabytes in the kernel, a slow
 // client would appear stuck until much of the data has been sent, and memory use would grow.
@@ -73,7 +72,8 @@
   }
   return !is_in(SessionState::kAwaitingResponse) || reader_.is_body_incomplete() ||
          reader_.buffered_bytes() > kMaxBufferedBytesAwaitingResponse ||
-         context_.owner.buffered_bytes() > kMaxTotalBufferedBytes;
+         context_.owner.allocated_input_bytes() >
+             context_.buffer_limits.max_total_read_ahead_bytes;
 }
 
 std::size_t ClientSession::read_limit() const {
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -51,6 +51,8 @@
   Micros state_since() const { return activity_.state_since(); }
   std::size_t buffered_bytes() const { return reader_.buffered_bytes(); }
   EvictionRank eviction_rank() const;
+  // Number of bytes for which the session holds memory for them, whether used or not.
+  std::size_t allocated_input_bytes() const { return reader_.allocated_input_bytes(); }
   // Whether a request or a response could be lost if the process ended now.
   bool has_unfinished_work(Micros now) const;
 
--- a/src/net/client/client_session_context.hpp
+++ b/src/net/client/client_session_context.hpp
@@ -19,8 +19,8 @@
   virtual void on_session_closed(ClientId client) = 0;
   // The session has completed a response and waits for the next request. The owner may close it.
   virtual void on_session_idle() = 0;
-  // Total number of unparsed bytes that all sessions hold.
-  virtual std::size_t buffered_bytes() const = 0;
+  // Total number of bytes for which all sessions hold memory for their input.
+  virtual std::size_t allocated_input_bytes() const = 0;
 
  protected:
   ~ClientSessionOwner() = default;
--- a/src/net/client/request_reader.cpp
+++ b/src/net/client/request_reader.cpp
@@ -12,8 +12,6 @@
 using boost::system::error_code;
 
 constexpr std::uint32_t kMaxHeaderBytes = 8 << 10;
-// The capacity that an empty input buffer keeps.
-constexpr std::size_t kMaxKeptBytes = 4 << 10;
 
 http::status status_of(const error_code& ec) {
   const bool too_large = ec == http::error::body_limit || ec == http::error::header_limit;
@@ -23,7 +21,7 @@
 }  // namespace
 
 std::size_t RequestReader::allocated_bytes() const {
-  return input_.capacity() + (parser_ ? parser_->get().body().capacity() : 0);
+  return input_.allocated_bytes() + (parser_ ? parser_->get().body().capacity() : 0);
 }
 
 std::size_t RequestReader::body_space() const {
@@ -39,9 +37,8 @@
 
 RequestReader::ParseResult RequestReader::parse_input() {
   ParseResult result{};
-  result.bytes = parser_->put(boost::asio::buffer(input_), result.ec);
-  input_.erase(0, result.bytes);
-  release_if_empty(input_, kMaxKeptBytes);
+  result.bytes = parser_->put(boost::asio::buffer(input_.view()), result.ec);
+  input_.consume(result.bytes);
   return result;
 }
 
@@ -123,7 +120,8 @@
 }
 
 bool RequestReader::ends_like_chunked_body(std::string_view tail) const {
-  std::string end = input_.substr(input_.size() - std::min(input_.size(), kLastChunk.size()));
+  const std::string_view input = input_.view();
+  std::string end(input.substr(input.size() - std::min(input.size(), kLastChunk.size())));
   end.append(tail);
   return std::string_view(end).ends_with(kLastChunk);
 }
--- a/src/net/client/request_reader.hpp
+++ b/src/net/client/request_reader.hpp
@@ -14,6 +14,7 @@
 #include "net/client/request_validator.hpp"
 #include "net/http/buffer_limits.hpp"
 #include "net/http/framing.hpp"
+#include "net/http/receive_buffer.hpp"
 #include "quota_gateway/settings.hpp"
 
 namespace quota_gateway::net {
@@ -37,12 +38,14 @@
   bool has_input() const { return !input_.empty(); }
   // Number of bytes that have not been parsed.
   std::size_t buffered_bytes() const { return input_.size(); }
-  // Number of bytes for which the reader holds memory, whether they are used or not.
+  // Number of bytes for which the reader holds memory for them, whether used or not.
+  std::size_t allocated_input_bytes() const { return input_.allocated_bytes(); }
+  // Number of bytes for which the reader holds memory in all, whether they are used or not.
   std::size_t allocated_bytes() const;
   // How many more bytes of a body the reader takes before the body must be forwarded.
   std::size_t body_space() const;
   // Drops the unparsed bytes and frees their memory.
-  void discard_input() { std::string().swap(input_); }
+  void discard_input() { input_.release(); }
 
   bool is_message_open() const { return parser_.has_value(); }
   void start_message();
@@ -93,7 +96,7 @@
 
   const Settings& settings_;
   const BufferLimits limits_;
-  std::string input_;
+  ReceiveBuffer input_;
   std::optional<Parser> parser_;
   std::optional<ClientRequest> request_;  // set while a validated request has not been taken
   bool body_incomplete_ = false;
--- a/src/net/client/session_table.cpp
+++ b/src/net/client/session_table.cpp
@@ -53,10 +53,10 @@
   return idle_sessions > max_idle_sessions ? longest_idle : nullptr;
 }
 
-std::size_t SessionTable::buffered_bytes() const {
+std::size_t SessionTable::allocated_input_bytes() const {
   std::size_t total = 0;
   for (const auto& [client, session] : sessions_) {
-    total += session->buffered_bytes();
+    total += session->allocated_input_bytes();
   }
   return total;
 }
--- a/src/net/client/session_table.hpp
+++ b/src/net/client/session_table.hpp
@@ -34,8 +34,8 @@
   // sessions are idle between requests; else null.
   SessionPointer find_surplus_idle(std::size_t max_idle_sessions) const;
 
-  // Total number of unparsed bytes that all sessions hold.
-  std::size_t buffered_bytes() const;
+  // Total number of bytes for which all sessions hold memory for their input.
+  std::size_t allocated_input_bytes() const;
   // Whether any session has unfinished work, see ClientSession.
   bool has_unfinished_work(Micros now) const;
 
--- a/src/net/http/buffer_limits.cpp
+++ b/src/net/http/buffer_limits.cpp
@@ -12,6 +12,9 @@
 // A body is kept for a further attempt while its encoded form is being written.
 constexpr std::size_t kCopiesOfABody = 2;
 constexpr std::size_t kMinBodyBytes = 8 << 10;
+// The part of the memory that input read ahead may fill: one in kReadAheadDivisor.
+constexpr std::size_t kReadAheadDivisor = 16;
+constexpr std::size_t kMaxReadAheadBytes = 4 << 20;
 
 }  // namespace
 
@@ -22,13 +25,9 @@
   BufferLimits limits;
   limits.max_body_bytes =
       std::clamp(for_bodies / kCopiesOfABody, kMinBodyBytes, kMaxBufferedBodyBytes);
+  limits.max_total_read_ahead_bytes =
+      std::min(memory_bytes / kReadAheadDivisor, kMaxReadAheadBytes);
   return limits;
 }
 
-void release_if_empty(std::string& text, std::size_t max_kept_bytes) {
-  if (text.empty() && text.capacity() > max_kept_bytes) {
-    std::string().swap(text);
-  }
-}
-
 }  // namespace quota_gateway::net
--- a/src/net/http/framing.hpp
+++ b/src/net/http/framing.hpp
@@ -82,15 +82,20 @@
     static void finish(boost::system::error_code& ec) { ec = {}; }
 
    private:
-    // Appending alone would double the capacity, most of which a body of medium size never uses.
+    // append() and reserve() of a string in use double its capacity, most of which a body of medium
+    // size never uses.
     void reserve_linearly(std::size_t additional_bytes) {
       const std::size_t needed_bytes = body_.size() + additional_bytes;
-      if (body_.capacity() < needed_bytes) {
-        body_.reserve((needed_bytes / kGrowthBytes + 1) * kGrowthBytes);
+      if (body_.capacity() >= needed_bytes) {
+        return;
       }
+      value_type larger;
+      larger.reserve((needed_bytes / kGrowthBytes + 1) * kGrowthBytes);
+      larger.append(body_);
+      body_.swap(larger);
     }
 
-    static constexpr std::size_t kGrowthBytes = 16 << 10;
+    static constexpr std::size_t kGrowthBytes = 4 << 10;
 
     value_type& body_;
   };
--- a/src/net/upstream/response_reader.cpp
+++ b/src/net/upstream/response_reader.cpp
@@ -314,7 +314,7 @@
   error_code ec;
   if (connection->received.empty() && connection->socket.available(ec) > 0) {
     const std::size_t size = connection->socket.read_some(asio::buffer(read_buffer_), ec);
-    connection->received.assign(read_buffer_.data(), size);
+    connection->received.append(read_buffer_.data(), size);
   }
 }
 
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -7,7 +7,6 @@
 #include <boost/system/system_error.hpp>
 #include <cerrno>
 
-#include "net/http/buffer_limits.hpp"
 #include "net/upstream/response_classifier.hpp"
 
 namespace quota_gateway::net {
@@ -18,8 +17,6 @@
 using boost::system::error_code;
 
 constexpr std::uint32_t kMaxHeaderBytes = 16 << 10;
-// The capacity that an empty input buffer keeps.
-constexpr std::size_t kMaxKeptBytes = 4 << 10;
 // Beast limits heads and bodies. It does not limit the line of a chunk size, whose extensions may
 // have any length, nor the trailers behind the last chunk; both wait in `received` until complete.
 constexpr std::size_t kMaxUnparsedBytes = kMaxHeaderBytes;
@@ -69,7 +66,7 @@
 
 void UpstreamConnection::release_memory() {
   parser.reset();
-  std::string().swap(received);
+  received.release();
 }
 
 void UpstreamConnection::begin_response() {
@@ -94,8 +91,7 @@
       return false;
     }
     error_code ec;
-    received.erase(0, parser->put(asio::buffer(received), ec));
-    release_if_empty(received, kMaxKeptBytes);
+    received.consume(parser->put(asio::buffer(received.view()), ec));
     if (ec == http::error::need_more) {
       check_unparsed_size();
       return false;
@@ -143,7 +139,7 @@
 }
 
 bool UpstreamConnection::may_be_truncated() const {
-  return !received.empty() && !parser->chunked() && received.compare(0, 5, "HTTP/", 0, 5) != 0;
+  return !received.empty() && !parser->chunked() && !received.view().starts_with("HTTP/");
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/upstream/upstream_connection.hpp
+++ b/src/net/upstream/upstream_connection.hpp
@@ -14,6 +14,7 @@
 
 #include "net/http/forwarded_request.hpp"
 #include "net/http/framing.hpp"
+#include "net/http/receive_buffer.hpp"
 #include "net/upstream/attempt.hpp"
 
 namespace quota_gateway::net {
@@ -116,7 +117,7 @@
   // Response state.
   bool read_pending = false;  // a wait for the socket to be readable is pending
   // Received bytes that were not parsed yet. At most the limits of parse_received() and one read.
-  std::string received;
+  ReceiveBuffer received;
   std::optional<ResponseParser> parser;
   Delivery delivery = Delivery::kBuffered;
   // Whether the complete response was received. Its delivery may still be in progress.
--- a/tests/net/client/client_session_fixture.hpp
+++ b/tests/net/client/client_session_fixture.hpp
@@ -26,7 +26,7 @@
  public:
   void on_session_closed(ClientId client) override { closed_.push_back(client); }
   void on_session_idle() override {}
-  std::size_t buffered_bytes() const override { return 0; }
+  std::size_t allocated_input_bytes() const override { return 0; }
 
   const std::vector<ClientId>& closed() const { return closed_; }
 
--- a/tests/net/http/buffer_limits_test.cpp
+++ b/tests/net/http/buffer_limits_test.cpp
@@ -22,15 +22,9 @@
   }
 }
 
-TEST(BufferLimits, OnlyALargeEmptyBufferIsFreed) {
-  std::string text(5'000, 'x');
-  release_if_empty(text, 100);
-  EXPECT_EQ(text.size(), 5'000U);
-  text.clear();
-  release_if_empty(text, 10'000);
-  EXPECT_GE(text.capacity(), 5'000U);
-  release_if_empty(text, 100);
-  EXPECT_LT(text.capacity(), 100U);
+TEST(BufferLimits, InputReadAheadFollowsTheMemory) {
+  EXPECT_EQ(buffer_limits(32 * kMegabyte, 504).max_total_read_ahead_bytes, 2 * kMegabyte);
+  EXPECT_EQ(buffer_limits(192 * kMegabyte, 504).max_total_read_ahead_bytes, 4 * kMegabyte);
 }
 
 }  // namespace
