Store no parsed fields longer than it takes to check them

Cause: Beast stores each field as it arrives, in a block of its own, so that short fields take up to 16 times their text. The fields of a response stayed until its body was complete, the fields of trailers until the client had read all of it.

Change: the fields of a head are passed to the parser once all have arrived; until then they are text of at most 8 KiB (requests) or 16 KiB (responses). What a response's head says is taken from it at once (result_of_head), and fields and trailers are dropped. An error in a start line is still found as it arrives, an error in a field once the head is complete.

--- a/src/net/client/request_reader.cpp
+++ b/src/net/client/request_reader.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/core/string.hpp>
 #include <utility>
 
+#include "net/http/head_prefix.hpp"
+
 namespace quota_gateway::net {
 namespace {
 
@@ -31,14 +33,36 @@
 
 void RequestReader::start_message() {
   parser_.emplace();
+  start_line_parsed_ = false;
   parser_->header_limit(kMaxHeaderBytes);
   parser_->body_limit(kMaxBodyBytes);
 }
 
 RequestReader::ParseResult RequestReader::parse_input() {
+  const bool begins_with_start_line = !start_line_parsed_;
+  ParseResult result = parse_part();
+  if (begins_with_start_line && start_line_parsed_ && result.ec == http::error::need_more) {
+    const ParseResult fields = parse_part();
+    result = {result.bytes + fields.bytes, fields.ec};
+  }
+  return result;
+}
+
+RequestReader::ParseResult RequestReader::parse_part() {
+  const std::size_t parseable = parser_->is_header_done()
+                                    ? input_.size()
+                                    : parseable_head_bytes(input_.view(), start_line_parsed_);
+  if (parseable == 0) {
+    const error_code need_more = http::error::need_more;
+    return {0, start_line_parsed_ ? need_more : check_partial_start_line<Parser>(input_.view())};
+  }
   ParseResult result{};
-  result.bytes = parser_->put(boost::asio::buffer(input_.view()), result.ec);
+  result.bytes = parser_->put(boost::asio::buffer(input_.data(), parseable), result.ec);
   input_.consume(result.bytes);
+  start_line_parsed_ = start_line_parsed_ || result.bytes > 0;
+  if (parser_->eager()) {
+    parser_->get().clear();  // trailers, which are not used
+  }
   return result;
 }
 
--- a/src/net/client/request_reader.hpp
+++ b/src/net/client/request_reader.hpp
@@ -90,7 +90,10 @@
     boost::system::error_code ec;  // need_more: the message continues after the input
   };
 
+  // Parses the input up to the next stop of the parser, such as the end of the head.
   ParseResult parse_input();
+  // Parses the start line, or what is behind it.
+  ParseResult parse_part();
   void check_head();
   bool is_ready() const;
 
@@ -99,6 +102,7 @@
   ReceiveBuffer input_;
   std::optional<Parser> parser_;
   std::optional<ClientRequest> request_;  // set while a validated request has not been taken
+  bool start_line_parsed_ = false;        // of the open message
   bool body_incomplete_ = false;
   bool expects_continue_ = false;
   bool keep_alive_ = true;
--- a/src/net/upstream/response_classifier.cpp
+++ b/src/net/upstream/response_classifier.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/beast/http/status.hpp>
 #include <string_view>
-#include <utility>
 
 #include "net/upstream/load_report_parser.hpp"
 
@@ -37,18 +36,16 @@
   return never_ran ? Outcome::kOverloaded : Outcome::kError;
 }
 
-AttemptResult take_result(ServerResponse& response, Micros first_byte_at) {
+AttemptResult result_of_head(const ServerResponse& response) {
   AttemptResult result;
   result.outcome = outcome_of(response);
   result.load = parse_load_report(header(response, "Endpoint-Load-Metrics"));
-  result.first_byte_at = first_byte_at;
   if (const auto percent =
           parse_bounded_number(header(response, "Usage-Percent"), kMaxUsagePercent)) {
     result.quota_usage_percent = int(*percent);
   }
   if (result.outcome == Outcome::kOk) {
     result.billed_units = parse_bounded_number(header(response, "Billed-Units"), kMaxBilledUnits);
-    result.body = std::exchange(response.body(), {});
   }
   return result;
 }
--- a/src/net/upstream/response_classifier.hpp
+++ b/src/net/upstream/response_classifier.hpp
@@ -20,8 +20,8 @@
 // response may come from a server that did the work.
 Outcome outcome_of(const ServerResponse& response);
 
-// Returns the attempt's result according to the response. `first_byte_at` is the time at which the
-// first byte of the response arrived. For kOk, the body is moved out of the response.
-AttemptResult take_result(ServerResponse& response, Micros first_byte_at);
+// Returns the attempt's result according to the response's head: all of it but the body and the
+// time of the first byte.
+AttemptResult result_of_head(const ServerResponse& response);
 
 }  // namespace quota_gateway::net
--- a/src/net/upstream/response_reader.cpp
+++ b/src/net/upstream/response_reader.cpp
@@ -41,11 +41,6 @@
   return is_streaming(connection) ? kStreamStallTimeout : kResponseStallTimeout;
 }
 
-// Returns whether the head of the final response is parsed.
-bool is_final_head_done(UpstreamConnection& connection) {
-  return connection.parser->is_header_done() && !is_interim(connection.parser->get());
-}
-
 // Returns whether the response has begun and may be a long one that arrives slowly: its length is
 // unknown, and its body has not begun or arrives at a useful rate.
 bool may_be_long(const UpstreamConnection& connection, Micros now) {
@@ -57,10 +52,6 @@
   return body_bytes == 0 || body_bytes >= kMinBytesPerSecond * seconds;
 }
 
-AttemptResult take_attempt_result(UpstreamConnection& connection) {
-  return take_result(connection.parser->get(), connection.first_byte_at);
-}
-
 }  // namespace
 
 ResponseReader::ResponseReader(asio::io_context& io, Timers& timers, const Clock& clock,
@@ -105,9 +96,8 @@
 
 bool ResponseReader::deliver_started(const ConnectionPtr& connection) {
   if (connection->state != State::kWaiting || !connection->has_response_bytes() ||
-      connection->delivery != Delivery::kBuffered || !is_final_head_done(*connection) ||
-      outcome_of(connection->parser->get()) != Outcome::kOk ||
-      !may_be_long(*connection, clock_.now())) {
+      connection->delivery != Delivery::kBuffered || !connection->is_final_head_done() ||
+      connection->outcome() != Outcome::kOk || !may_be_long(*connection, clock_.now())) {
     return false;
   }
   asio::post(io_, [this, connection, key = connection->attempt] {
@@ -181,7 +171,7 @@
 
 void ResponseReader::process_received(const ConnectionPtr& connection, bool is_first_part) {
   while (connection->parse_received()) {
-    if (!is_interim(connection->parser->get())) {
+    if (connection->is_final_head_done()) {
       return on_response_complete(connection);
     }
     if (++connection->interim_responses > kMaxInterimResponses) {
@@ -198,7 +188,7 @@
   }
   if (!connection->body_incomplete) {
     deliver_part(connection);
-  } else if (is_final_head_done(*connection) && is_long(*connection->parser)) {
+  } else if (connection->is_final_head_done() && is_long(*connection->parser)) {
     on_early_response(connection);
   }
 }
@@ -206,7 +196,7 @@
 // A server begins to run a request after its last byte, so it has not run this one. Nothing of its
 // response can be delivered, and a long one must not be kept until the request is complete.
 void ResponseReader::on_early_response(const ConnectionPtr& connection) const {
-  const bool is_overloaded = outcome_of(connection->parser->get()) == Outcome::kOverloaded;
+  const bool is_overloaded = connection->outcome() == Outcome::kOverloaded;
   response_events_.on_failed(connection,
                              is_overloaded ? Outcome::kOverloaded : Outcome::kConnectFailed);
 }
@@ -253,7 +243,7 @@
 
 bool ResponseReader::deliver_part(const ConnectionPtr& connection) {
   auto& parser = *connection->parser;
-  if (!is_final_head_done(*connection)) {
+  if (!connection->is_final_head_done()) {
     return false;
   }
   if (is_streaming(*connection)) {
@@ -265,7 +255,7 @@
   }
   const Micros now = clock_.now();
   const bool is_slow = now - connection->first_byte_at >= kMaxBufferingTime;
-  const bool is_error = outcome_of(parser.get()) != Outcome::kOk;
+  const bool is_error = connection->outcome() != Outcome::kOk;
   if (is_long(parser) || (is_slow && may_be_long(*connection, now)) ||
       (is_error && parser.need_eof())) {
     deliver_beginning(connection);
@@ -275,7 +265,7 @@
 }
 
 void ResponseReader::deliver_beginning(const ConnectionPtr& connection) {
-  AttemptResult result = take_attempt_result(*connection);
+  AttemptResult result = connection->take_result();
   if (result.outcome != Outcome::kOk) {  // the body of an error is not used
     return response_events_.on_complete(connection, std::move(result),
                                         ConnectionCondition::kBroken);
@@ -319,10 +309,9 @@
 }
 
 void ResponseReader::complete(const ConnectionPtr& connection) const {
-  const bool is_reusable = connection->parser->get().keep_alive() && connection->received.empty();
-  response_events_.on_complete(
-      connection, take_attempt_result(*connection),
-      is_reusable ? ConnectionCondition::kReusable : ConnectionCondition::kNotReusable);
+  const auto condition = connection->is_reusable() ? ConnectionCondition::kReusable
+                                                   : ConnectionCondition::kNotReusable;
+  response_events_.on_complete(connection, connection->take_result(), condition);
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -6,7 +6,9 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/system/system_error.hpp>
 #include <cerrno>
+#include <utility>
 
+#include "net/http/head_prefix.hpp"
 #include "net/upstream/response_classifier.hpp"
 
 namespace quota_gateway::net {
@@ -66,6 +68,7 @@
 
 void UpstreamConnection::release_memory() {
   parser.reset();
+  head_result_.reset();
   received.release();
 }
 
@@ -76,10 +79,12 @@
   expect_response();
 }
 
-// The parser stops after the head, and parse_received() continues with the body after check_head().
+// The parser stops after the head, and parse_received() continues with the body after parse_head().
 // A Beast parser that proceeds directly to the body loses the error about a stated length over the
 // limit, and would read, for example, all of a 3 GB body.
 void UpstreamConnection::expect_response() {
+  head_result_.reset();
+  start_line_parsed_ = false;
   parser.emplace();
   parser->header_limit(kMaxHeaderBytes);
   parser->body_limit(kMaxBodyBytes);
@@ -90,32 +95,61 @@
     if (received.empty()) {
       return false;
     }
-    error_code ec;
-    received.consume(parser->put(asio::buffer(received.view()), ec));
-    if (ec == http::error::need_more) {
+    if (!parse_some()) {
       check_unparsed_size();
       return false;
     }
-    if (ec) {
-      throw boost::system::system_error(ec);  // not HTTP, or too large
-    }
-    if (parser->is_header_done() && !parser->eager()) {
-      check_head();
-    }
   }
   return true;
 }
 
+bool UpstreamConnection::parse_some() {
+  const std::size_t parseable = parser->is_header_done()
+                                    ? received.size()
+                                    : parseable_head_bytes(received.view(), start_line_parsed_);
+  error_code ec;
+  std::size_t parsed = 0;
+  if (parseable > 0) {
+    parsed = parser->put(asio::buffer(received.data(), parseable), ec);
+  } else if (!start_line_parsed_) {
+    ec = check_partial_start_line<ResponseParser>(received.view());
+  }
+  if (ec && ec != http::error::need_more) {
+    throw boost::system::system_error(ec);  // not HTTP, or too large
+  }
+  received.consume(parsed);
+  start_line_parsed_ = start_line_parsed_ || parsed > 0;
+  if (parser->is_header_done() && !parser->eager()) {
+    parse_head();
+  } else if (parser->eager()) {
+    parser->get().clear();  // trailers, which are not used
+  }
+  return parsed > 0;
+}
+
 void UpstreamConnection::check_unparsed_size() const {
   if (received.size() > kMaxUnparsedBytes) {
     throw HttpError("a chunk header or the trailers of the response are too long");
   }
 }
 
-void UpstreamConnection::check_head() {
-  const auto& head = parser->get();
+void UpstreamConnection::parse_head() {
+  auto& head = parser->get();
   check_framing(head, http_version(head.version()));
   parser->eager(true);
+  if (!is_interim(head)) {
+    head_result_ = result_of_head(head);
+  }
+  head.clear();
+}
+
+AttemptResult UpstreamConnection::take_result() {
+  AttemptResult result = *head_result_;
+  result.first_byte_at = first_byte_at;
+  if (result.outcome == Outcome::kOk) {
+    result.body = std::exchange(parser->get().body(), {});
+  }
+  return result;
 }
 
 bool UpstreamConnection::end_of_stream() {
@@ -134,6 +168,10 @@
   return parser->chunked() || parser->need_eof();
 }
 
+bool UpstreamConnection::is_reusable() const {
+  return parser->keep_alive() && received.empty();
+}
+
 bool UpstreamConnection::has_response_bytes() const {
   return parser->got_some() || !received.empty();
 }
--- a/src/net/upstream/upstream_connection.hpp
+++ b/src/net/upstream/upstream_connection.hpp
@@ -76,6 +76,13 @@
   // boost::system::system_error if the response is invalid.
   bool parse_received();
 
+  // Returns whether the head of the final response was parsed. Only then has the response an
+  // outcome and a result.
+  bool is_final_head_done() const { return head_result_.has_value(); }
+  Outcome outcome() const { return head_result_->outcome; }
+  // Returns the result of the attempt. For kOk, the received part of the body is moved into it.
+  AttemptResult take_result();
+
   // Completes a response whose body ends with the connection, which the server has ended in order.
   // Returns false if the response does not end there. Throws like parse_received().
   bool end_of_stream();
@@ -83,6 +90,9 @@
   // Returns whether the head does not tell the length of the body.
   bool is_length_unknown() const;
 
+  // Returns whether the complete response leaves the connection open for another request.
+  bool is_reusable() const;
+
   // Returns whether any byte of the current response was received.
   bool has_response_bytes() const;
 
@@ -134,8 +144,15 @@
   Micros idle_before_request = 0;
 
  private:
-  void check_head();
+  // Parses some of the received bytes. Returns false if more are needed.
+  bool parse_some();
+  void parse_head();
   void check_unparsed_size() const;
+
+  bool start_line_parsed_ = false;  // of the response that is being parsed
+  // What the head of the final response says. The parsed fields themselves are not kept: short
+  // fields take many times the memory of their text, and the body may go on for long.
+  std::optional<AttemptResult> head_result_;
 };
 
 using UpstreamConnectionPtr = std::shared_ptr<UpstreamConnection>;
--- a/tests/net/upstream/response_classifier_test.cpp
+++ b/tests/net/upstream/response_classifier_test.cpp
@@ -43,15 +43,12 @@
   EXPECT_EQ(outcome_of(with_header(502, "X-Never-Ran", "1")), Outcome::kError);
 }
 
-TEST(ResponseClassifierTest, MovesTheBodyAndTheHeaderValuesIntoTheResult) {
+TEST(ResponseClassifierTest, TheHeaderValuesAreInTheResult) {
   ServerResponse response = with_header(200, "Billed-Units", "3");
   response.set("Usage-Percent", "86");
   response.set("Endpoint-Load-Metrics", "queue=2");
-  const AttemptResult result = take_result(response, 17);
+  const AttemptResult result = result_of_head(response);
   EXPECT_EQ(result.outcome, Outcome::kOk);
-  EXPECT_EQ(result.body, "body");
-  EXPECT_TRUE(response.body().empty());
-  EXPECT_EQ(result.first_byte_at, 17);
   EXPECT_EQ(result.billed_units, 3);
   EXPECT_EQ(result.quota_usage_percent, 86);
   EXPECT_EQ(result.load.queued, 2);
@@ -60,7 +57,7 @@
 TEST(ResponseClassifierTest, ReportsOnlyLoadAndQuotaUsageOfAnError) {
   ServerResponse response = with_header(500, "Billed-Units", "3");
   response.set("Usage-Percent", "86");
-  const AttemptResult result = take_result(response, 17);
+  const AttemptResult result = result_of_head(response);
   EXPECT_EQ(result.outcome, Outcome::kError);
   EXPECT_TRUE(result.body.empty());
   EXPECT_EQ(result.billed_units, std::nullopt);
@@ -70,7 +67,7 @@
 TEST(ResponseClassifierTest, IgnoresImplausibleHeaderValues) {
   ServerResponse response = with_header(200, "Billed-Units", "10001");
   response.set("Usage-Percent", "1000001");
-  const AttemptResult result = take_result(response, 17);
+  const AttemptResult result = result_of_head(response);
   EXPECT_EQ(result.outcome, Outcome::kOk);
   EXPECT_EQ(result.billed_units, std::nullopt);
   EXPECT_EQ(result.quota_usage_percent, std::nullopt);
