Count all memory of the process in one place and reject what does not fit

Cause: the bounds of messages, of input read ahead and of customers were each a share of memory_mb, and nobody added them up. What the allocator adds and keeps, timers, parsed fields, the program and its libraries were in no share.

Change: MemoryBudget knows the bytes of all blocks (operators new and delete count them, in the gateway program alone) and the resident memory of the process, which is measured whenever a 64th of the limit was allocated. Above five eighths of memory_mb nothing is read ahead and long requests are rejected once their head has arrived; above three quarters all new requests are rejected, and so are those that hold more than 4 KiB and go on. A rejection is a 503 with Retry-After before anything was forwarded, so the client may repeat it; the connection is kept if the request was complete. Health checks are answered.

With the address sanitizer the resident memory is mostly its own; there only the allocated blocks count.

--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -22,11 +22,11 @@
 }  // namespace
 
 ClientListener::ClientListener(asio::io_context& io, Timers& timers, const Clock& clock,
-                               const Settings& settings, ClientListenerLimits limits,
-                               ClientListenerCallbacks callbacks)
+                               const Settings& settings, MemoryBudget& memory,
+                               ClientListenerLimits limits, ClientListenerCallbacks callbacks)
     : timers_(timers),
       max_clients_(limits.max_clients),
-      context_{*this, timers, clock, settings, std::move(callbacks), limits.buffers},
+      context_{*this, timers, clock, settings, memory, std::move(callbacks), limits.buffers},
       acceptor_(io) {
   enforce_timeouts();
 }
--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -30,10 +30,10 @@
 // Listens at one address. All functions must be called on the event loop's thread.
 class ClientListener final : private ClientSessionOwner {
  public:
-  // `io`, `timers`, `clock` and `settings` must outlive the listener. `settings` may change while
-  // the listener exists.
+  // `io`, `timers`, `clock`, `settings` and `memory` must outlive the listener. `settings` may
+  // change while the listener exists.
   ClientListener(boost::asio::io_context& io, Timers& timers, const Clock& clock,
-                 const Settings& settings, ClientListenerLimits limits,
+                 const Settings& settings, MemoryBudget& memory, ClientListenerLimits limits,
                  ClientListenerCallbacks callbacks);
 
   // Binds to `address` and listens. Clients can connect, but no connection is accepted before
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -38,6 +38,9 @@
 
 constexpr Micros kUnreadInputCheckInterval = 50'000;  // us
 
+// Most of the memory that many clients fill is free again after this time.
+constexpr Micros kLackOfMemoryRetryAfter = 1'000'000;  // us
+
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -72,8 +75,8 @@
   }
   return !is_in(SessionState::kAwaitingResponse) || reader_.is_body_incomplete() ||
          reader_.buffered_bytes() > kMaxBufferedBytesAwaitingResponse ||
-         context_.owner.allocated_input_bytes() >
-             context_.buffer_limits.max_total_read_ahead_bytes;
+         context_.memory.pressure() != MemoryPressure::kNone ||
+         context_.owner.allocated_input_bytes() > context_.buffer_limits.max_total_read_ahead_bytes;
 }
 
 std::size_t ClientSession::read_limit() const {
@@ -108,6 +111,9 @@
 void ClientSession::on_received(std::size_t size) {
   activity_.on_bytes_received();
   peeked_bytes_.reset();
+  if (!has_memory_for_input()) {
+    return reject_for_lack_of_memory();
+  }
   if (!is_in(SessionState::kClosing)) {
     reader_.append_input(context_.read_buffer.data(), size);
   }
@@ -184,11 +190,17 @@
       enter(SessionState::kReading);
     }
     RequestReader::Progress progress = RequestReader::Progress::kNeedsInput;
+    const bool had_head = reader_.has_valid_head();
     try {
       progress = advance_message();
     } catch (const HttpError& e) {
       return reject(e.status(), e.what());
     }
+    const bool is_ready = progress == RequestReader::Progress::kMessageReady;
+    if ((is_ready || !had_head) && !has_memory_for_request(is_ready)) {
+      reject_for_lack_of_memory();
+      continue;
+    }
     if (progress == RequestReader::Progress::kNeedsInput) {
       return;
     }
@@ -310,6 +322,33 @@
   write_response(response, ConnectionUse::kClose);
 }
 
+bool ClientSession::has_memory_for_request(bool is_ready) {
+  if (!reader_.has_valid_head()) {
+    return true;
+  }
+  if (reader_.awaits_long_body()) {
+    return context_.memory.admits(RequestLength::kLong);
+  }
+  return !is_ready || context_.memory.admits(RequestLength::kShort);
+}
+
+bool ClientSession::has_memory_for_input() {
+  return !is_in(SessionState::kReading) || reader_.allocated_bytes() <= kMaxBufferedBytes ||
+         context_.memory.pressure() != MemoryPressure::kCritical;
+}
+
+// Nothing of the request was forwarded, so the client may repeat it. The connection is kept unless
+// a part of the request is still to come.
+void ClientSession::reject_for_lack_of_memory() {
+  const bool is_complete = reader_.is_message_complete();
+  activity_.on_request_received();
+  reader_.end_message();
+  ClientResponse response;
+  response.status = int(http::status::service_unavailable);
+  response.retry_after = kLackOfMemoryRetryAfter;
+  write_response(response, is_complete ? use_after_response() : ConnectionUse::kClose);
+}
+
 void ClientSession::write_response(const ClientResponse& response, ConnectionUse connection_use) {
   enter(SessionState::kWriting);
   output_.set_response(response, connection_use);
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -49,10 +49,11 @@
   // Whether the session has had a request and waits for the next one.
   bool is_idle_between_requests() const { return activity_.is_idle_between_requests(); }
   Micros state_since() const { return activity_.state_since(); }
+  // Number of bytes that were received and not parsed.
   std::size_t buffered_bytes() const { return reader_.buffered_bytes(); }
-  EvictionRank eviction_rank() const;
   // Number of bytes for which the session holds memory for them, whether used or not.
   std::size_t allocated_input_bytes() const { return reader_.allocated_input_bytes(); }
+  EvictionRank eviction_rank() const;
   // Whether a request or a response could be lost if the process ended now.
   bool has_unfinished_work(Micros now) const;
 
@@ -80,6 +81,12 @@
   void deliver_body_piece();
 
   void reject(boost::beast::http::status status, const std::string& reason);
+  // Whether the memory allows the request whose head has just arrived or which is ready. A long one
+  // is checked by its head, a short one once it is complete, so that its connection can be kept.
+  bool has_memory_for_request(bool is_ready);
+  // Whether the memory allows more bytes of the request that is being received.
+  bool has_memory_for_input();
+  void reject_for_lack_of_memory();
   void write_response(const ClientResponse& response, ConnectionUse connection_use);
   void write_piece();
   void write_output(void (ClientSession::*on_written)());
--- a/src/net/client/client_session_context.hpp
+++ b/src/net/client/client_session_context.hpp
@@ -8,6 +8,7 @@
 #include "net/client/client_callbacks.hpp"
 #include "net/event_loop/timers.hpp"
 #include "net/http/buffer_limits.hpp"
+#include "net/memory/memory_budget.hpp"
 #include "quota_gateway/settings.hpp"
 
 namespace quota_gateway::net {
@@ -32,6 +33,7 @@
   Timers& timers;
   const Clock& clock;
   const Settings& settings;
+  MemoryBudget& memory;
   ClientListenerCallbacks callbacks;
   BufferLimits buffer_limits;
   bool draining = false;  // the gateway is shutting down; each response closes its connection
--- a/src/net/client/request_reader.cpp
+++ b/src/net/client/request_reader.cpp
@@ -112,6 +112,14 @@
   parser_->get().clear();
 }
 
+bool RequestReader::awaits_long_body() const {
+  if (parser_->is_done()) {
+    return false;
+  }
+  const auto length = parser_->content_length();
+  return !length || *length > limits_.max_body_bytes;
+}
+
 bool RequestReader::take_expects_continue() {
   return std::exchange(expects_continue_, false);
 }
--- a/src/net/client/request_reader.hpp
+++ b/src/net/client/request_reader.hpp
@@ -54,6 +54,11 @@
   Progress advance();
   // Whether the head of the open message is a valid request that has not been taken.
   bool has_valid_head() const { return request_.has_value(); }
+  // Whether the open message is complete.
+  bool is_message_complete() const { return parser_->is_done(); }
+  // Whether a part of the open message's body is to come, and the complete body is longer than
+  // BufferLimits::max_body_bytes or may be.
+  bool awaits_long_body() const;
   // Whether the client waits for "100 Continue" before it sends the body. True at most once for
   // each message.
   bool take_expects_continue();
--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -20,6 +20,13 @@
   return buffer_limits(config.memory_limit_mb * kBytesPerMegabyte, max_clients(config));
 }
 
+MemoryBudget memory_budget(ProcessMemory* memory, const GatewayConfig& config) {
+  if (memory == nullptr) {
+    return {};
+  }
+  return {*memory, config.memory_limit_mb * kBytesPerMegabyte};
+}
+
 ClientListenerLimits client_limits(const GatewayConfig& config) {
   return {.max_clients = max_clients(config), .buffers = message_buffer_limits(config)};
 }
@@ -51,12 +58,14 @@
 
 }  // namespace
 
-GatewayServer::GatewayServer(asio::io_context& io, GatewayConfig config)
+GatewayServer::GatewayServer(asio::io_context& io, GatewayConfig config, ProcessMemory* memory)
     : io_(io),
       settings_(config.settings),
       connect_timeout_(config.connect_timeout),
       timers_(io, clock_),
       loop_{io, clock_, timers_},
+      memory_(memory_budget(memory, config)),
+      memory_monitor_(timers_, clock_, memory_),
       gateway_(config.settings, config.seed),
       events_(loop_, gateway_, executor_),
       executor_(loop_, events_, dispatcher_),
@@ -74,7 +83,7 @@
       discovery_(io, timers_, clock_,
                  discovery_options(config, endpoint_lists_.persisted_revision()),
                  discovery_callbacks()),
-      clients_(io, timers_, clock_, settings_, client_limits(config), client_callbacks()),
+      clients_(io, timers_, clock_, settings_, memory_, client_limits(config), client_callbacks()),
       handover_(loop_, config, {pool_, clients_, events_, endpoint_lists_},
                 max_connections(config)),
       shutdown_(loop_, requests_, deadlines_, clients_) {
@@ -198,7 +207,11 @@
   UpstreamCounts upstream;
   upstream.connections = pool_.connection_counts();
   upstream.owned_attempts = requests_.attempts_with_connection();
-  return stats_.render(endpoints, upstream);
+  MemoryCounts memory;
+  memory.used_bytes = memory_.used_bytes();
+  memory.limit_bytes = memory_.limit_bytes();
+  memory.rejected_requests = memory_.rejected_requests();
+  return stats_.render(endpoints, upstream, memory);
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/server/gateway_server.hpp
+++ b/src/net/server/gateway_server.hpp
@@ -15,6 +15,8 @@
 #include "net/discovery/discovery_client.hpp"
 #include "net/event_loop/clock.hpp"
 #include "net/event_loop/timers.hpp"
+#include "net/memory/memory_budget.hpp"
+#include "net/memory/memory_monitor.hpp"
 #include "net/server/action_executor.hpp"
 #include "net/server/attempt_reporter.hpp"
 #include "net/server/endpoint_list_applier.hpp"
@@ -34,9 +36,10 @@
 
 class GatewayServer {
  public:
-  // Serves clients once the event loop runs. Throws std::exception if the address for clients
-  // cannot be listened on.
-  GatewayServer(boost::asio::io_context& io, GatewayConfig config);
+  // Serves clients once the event loop runs and the address for clients can be listened on.
+  // `memory`: that of the process, which is kept within the limit of the
+  // configuration; null: it has no limit.
+  GatewayServer(boost::asio::io_context& io, GatewayConfig config, ProcessMemory* memory = nullptr);
 
   // The address that clients connect to.
   boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
@@ -73,6 +76,8 @@
   Clock clock_;
   Timers timers_;
   const EventLoop loop_;
+  MemoryBudget memory_;
+  MemoryMonitor memory_monitor_;
   GatewayStats stats_;
   Gateway gateway_;
   EventBatcher events_;
--- a/src/net/server/gateway_stats.cpp
+++ b/src/net/server/gateway_stats.cpp
@@ -58,8 +58,8 @@
   }
 }
 
-std::string GatewayStats::render(const EndpointCounts& endpoints,
-                                 const UpstreamCounts& upstream) const {
+std::string GatewayStats::render(const EndpointCounts& endpoints, const UpstreamCounts& upstream,
+                                 const MemoryCounts& memory) const {
   std::string text;
   for (const auto& [request_class, counts] : responses_by_class_) {
     append_line(text, "replies." + request_class + ".success", counts.success);
@@ -73,6 +73,9 @@
   append_line(text, "reload_success", reloads_applied_);
   append_line(text, "reload_failure", reloads_rejected_);
   append_upstream(text, upstream);
+  append_line(text, "memory.used", memory.used_bytes);
+  append_line(text, "memory.limit", memory.limit_bytes);
+  append_line(text, "memory.rejected", memory.rejected_requests);
   return text;
 }
 
--- a/src/net/server/gateway_stats.hpp
+++ b/src/net/server/gateway_stats.hpp
@@ -3,6 +3,7 @@
 // count requests and attempts.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -19,6 +20,13 @@
   kError      // failed, aborted, or abandoned by its client
 };
 
+// The memory of the process, see MemoryBudget.
+struct MemoryCounts {
+  std::size_t used_bytes = 0;
+  std::size_t limit_bytes = 0;
+  std::uint64_t rejected_requests = 0;
+};
+
 // Finished requests of one class by outcome. Each accepted request is counted under exactly one.
 struct ResponseCounts {
   std::uint64_t success = 0;
@@ -55,7 +63,8 @@
   void on_reload(ReloadResult result);
 
   // All metrics, one line each: `app.NAME=VALUE`.
-  std::string render(const EndpointCounts& endpoints, const UpstreamCounts& upstream) const;
+  std::string render(const EndpointCounts& endpoints, const UpstreamCounts& upstream,
+                     const MemoryCounts& memory) const;
 
  private:
   std::map<std::string, ResponseCounts> responses_by_class_;
--- a/src/net/server/main.cpp
+++ b/src/net/server/main.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "net/config/config_loader.hpp"
+#include "net/memory/system_memory.hpp"
 #include "net/server/config_reloader.hpp"
 #include "net/server/config_source.hpp"
 #include "net/server/gateway_server.hpp"
@@ -36,7 +37,8 @@
   boost::asio::io_context io(1);
   // Constructed before the server, since a SIGHUP before that would end the process.
   SignalHandler signals(io);
-  GatewayServer server(io, std::move(config));
+  SystemMemory memory;
+  GatewayServer server(io, std::move(config), &memory);
   ConfigReloader reloader(io, server, name, std::move(file.tree));
   const auto drain = [&] {
     std::cerr << name << ": draining\n";
--- a/tests/net/client/client_session_fixture.hpp
+++ b/tests/net/client/client_session_fixture.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "net/client/client_session_context.hpp"
+#include "support/stated_memory.hpp"
 
 namespace quota_gateway::net::testing {
 
@@ -41,12 +42,16 @@
   // the duration of a successful run.
   bool run_until(const std::function<bool()>& done);
 
+  static constexpr std::size_t kMemoryLimit = 32 << 20;
+
   boost::asio::io_context io;
   Clock clock;
   Timers timers{io, clock};
   Settings settings;
   FakeSessionOwner owner;
-  ClientSessionContext context{owner, timers, clock, settings, {}};
+  StatedMemory process_memory;
+  MemoryBudget memory{process_memory, kMemoryLimit};
+  ClientSessionContext context{owner, timers, clock, settings, memory, {}};
 };
 
 }  // namespace quota_gateway::net::testing
--- a/tests/net/client/client_session_test.cpp
+++ b/tests/net/client/client_session_test.cpp
@@ -76,6 +76,14 @@
     return received;
   }
 
+  // Whether the session soon holds more than `size` unparsed bytes.
+  bool reads_ahead(std::size_t size) {
+    constexpr Micros kSoon = 300'000;
+    const Micros end = clock.now() + kSoon;
+    EXPECT_TRUE(run_until([&] { return session->buffered_bytes() > size || clock.now() >= end; }));
+    return session->buffered_bytes() > size;
+  }
+
   ConnectedSockets sockets{io};
   std::shared_ptr<ClientSession> session;
   std::optional<std::uint64_t> result_of_on_request = kRequestId;
@@ -157,6 +165,55 @@
   EXPECT_EQ(pieces, std::vector<std::string>{"rest"});
 }
 
+// Guards against requests that bring the process over its memory.
+TEST_F(ConnectedClientSessionTest, RejectsARequestForLackOfMemoryAndKeepsTheConnection) {
+  process_memory.allocate(kMemoryLimit * 9 / 10);
+  send(kValidRequest);
+  const std::string rejection =
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1.000\r\n\r\n";
+  EXPECT_EQ(receive(rejection.size()), rejection);
+  EXPECT_TRUE(bodies.empty());
+  process_memory.free(kMemoryLimit * 9 / 10);
+  send_request();
+}
+
+TEST_F(ConnectedClientSessionTest, RejectsOnlyLongRequestsWhileMemoryIsScarce) {
+  process_memory.allocate(kMemoryLimit * 2 / 3);
+  send_request();
+  session->respond({});
+  send(kValidRequest.substr(0, kValidRequest.find("Content-Length")) +
+       "Content-Length: 70004\r\n\r\n");
+  const std::string responses = receive();
+  EXPECT_NE(responses.find("HTTP/1.1 503"), std::string::npos);
+  EXPECT_NE(responses.find("Connection: close"), std::string::npos);
+  EXPECT_EQ(bodies.size(), 1U);
+}
+
+TEST_F(ConnectedClientSessionTest, RejectsARequestThatArrivesWhileMemoryRunsOut) {
+  send(kValidRequest.substr(0, kValidRequest.find("Content-Length")) +
+       "Content-Length: 20000\r\n\r\n" + std::string(10'000, 'a'));
+  io.poll();
+  process_memory.allocate(kMemoryLimit * 9 / 10);
+  send(std::string(1'000, 'a'));
+  EXPECT_EQ(receive().find("HTTP/1.1 503"), 0U);
+  EXPECT_TRUE(bodies.empty());
+}
+
+TEST_F(ConnectedClientSessionTest, AnswersHealthChecksWithoutMemoryForRequests) {
+  process_memory.allocate(kMemoryLimit * 9 / 10);
+  send("GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  EXPECT_EQ(receive().find("HTTP/1.1 200"), 0U);
+}
+
+TEST_F(ConnectedClientSessionTest, ReadsNothingAheadWhileMemoryIsScarce) {
+  process_memory.allocate(kMemoryLimit * 2 / 3);
+  send_request();
+  send(std::string(100'000, 'x'));
+  EXPECT_FALSE(reads_ahead(20'000));
+  process_memory.free(kMemoryLimit * 2 / 3);
+  EXPECT_TRUE(reads_ahead(20'000));
+}
+
 TEST_F(ConnectedClientSessionTest, RejectsARequestWithATraceIdThatIsInProgress) {
   result_of_on_request = std::nullopt;
   send_request();
--- a/tests/net/server/memory_limit_test.cpp
+++ b/tests/net/server/memory_limit_test.cpp
@@ -25,12 +25,7 @@
 // A configuration with that memory and a class whose requests have a body.
 std::string small_memory_config(std::uint16_t port, const Listener& server,
                                 const Listener& discovery) {
-  const std::string classes = "\"Classes\":[";
-  std::string config = with_memory_limit(config_json(port, server, discovery), kMemoryMegabytes);
-  return config.insert(
-      config.find(classes) + classes.size(),
-      R"({"Name":"intro-request","Repeat":"unsafe","ObjectiveUs":3000000,"GiveUpUs":4000000,)"
-      R"("Importance":1.0},)");
+  return with_post_class(with_memory_limit(config_json(port, server, discovery), kMemoryMegabytes));
 }
 
 // Makes the address sanitizer of processes that are started from now on keep little freed memory.
@@ -54,10 +49,11 @@
     while (std::chrono::steady_clock::now() < end) {
       io.restart();
       io.run_for(std::chrono::milliseconds(20));
-      peak = std::max(peak, process_memory_bytes(process.process_id(), "RssAnon"));
     }
   }
-  void expect_memory_within_limit() {
+  // The limit is on all resident memory, files included, and on its peak.
+  void expect_memory_within_limit() const {
+    const std::size_t peak = process_memory_bytes(process.process_id(), "VmHWM");
     EXPECT_GT(peak, 0U);
     EXPECT_LT(peak, kMaxBytes);
   }
@@ -69,7 +65,6 @@
   SmallSanitizerQuarantine small_quarantine;
   Process process{small_memory_config(port, server, discovery)};
   std::list<Client> clients;
-  std::size_t peak = 0;  // of the memory of the process, bytes
 };
 
 // Guards against bodies that are kept several times while their clients write on (review/6).
--- a/tests/support/gateway_process.cpp
+++ b/tests/support/gateway_process.cpp
@@ -1,12 +1,15 @@
 #include "support/gateway_process.hpp"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <system_error>
 
 #include "support/listed_endpoints.hpp"
 
@@ -27,9 +30,26 @@
   return name;
 }
 
+// A process that a test starts beside hundreds of its own connections would otherwise hold them
+// too.
+void close_inherited_descriptors() {
+  ::close_range(STDERR_FILENO + 1, ~0U, 0);
+}
+
+void limit_descriptors(std::size_t max_descriptors) {
+  const rlimit limit{max_descriptors, max_descriptors};
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+std::string replace_once(std::string text, const std::string& found,
+                         const std::string& replacement) {
+  return text.replace(text.find(found), found.size(), replacement);
+}
+
 }  // namespace
 
-Process::Process(const std::string& config, const std::string& hot_restart_directory)
+Process::Process(const std::string& config, const std::string& hot_restart_directory,
+                 std::size_t max_descriptors)
     : config_path_(create_temporary_file()) {
   write_configuration(config);
   std::array<int, 2> pipe_ends{};
@@ -39,6 +59,10 @@
     ::dup2(pipe_ends[1], STDERR_FILENO);
     ::close(pipe_ends[0]);
     ::close(pipe_ends[1]);
+    close_inherited_descriptors();
+    if (max_descriptors > 0) {
+      limit_descriptors(max_descriptors);
+    }
     ::setenv("RELAY_CONFIG", config_path_.c_str(), 1);
     ::setenv("TMPDIR", hot_restart_directory.c_str(), 1);
     ::execl(QUOTA_GATEWAY_PROGRAM, QUOTA_GATEWAY_PROGRAM, nullptr);
@@ -77,6 +101,23 @@
   ::kill(pid_, signal);
 }
 
+bool Process::is_running() const {
+  siginfo_t ended{};
+  ::waitid(P_PID, id_t(pid_), &ended, WEXITED | WNOHANG | WNOWAIT);
+  return ended.si_pid == 0;
+}
+
+bool Process::has_opened_configuration() const {
+  std::error_code ignored;
+  for (const auto& descriptor :
+       std::filesystem::directory_iterator("/proc/" + process_id() + "/fd", ignored)) {
+    if (std::filesystem::read_symlink(descriptor, ignored) == config_path_) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::optional<int> Process::wait_for_exit() {
   int status = 0;
   ::waitpid(pid_, &status, 0);
@@ -117,10 +158,20 @@
 }
 
 std::string with_memory_limit(const std::string& config, std::size_t megabytes) {
-  const std::string limit = "\"memory_mb\":192";
-  std::string changed = config;
-  return changed.replace(changed.find(limit), limit.size(),
-                         "\"memory_mb\":" + std::to_string(megabytes));
+  return replace_once(config, "\"memory_mb\":192", "\"memory_mb\":" + std::to_string(megabytes));
+}
+
+std::string with_descriptor_limit(const std::string& config, std::size_t descriptors) {
+  return replace_once(config, "\"sockets\":1024", "\"sockets\":" + std::to_string(descriptors));
+}
+
+std::string with_post_class(const std::string& config) {
+  const std::string classes = "\"Classes\":[";
+  return replace_once(
+      config, classes,
+      classes +
+          R"({"Name":"intro-request","Repeat":"unsafe","ObjectiveUs":3000000,"GiveUpUs":4000000,)"
+          R"("Importance":1.0},)");
 }
 
 }  // namespace quota_gateway::net::testing
--- a/tests/support/gateway_process.hpp
+++ b/tests/support/gateway_process.hpp
@@ -17,8 +17,10 @@
 class Process {
  public:
   // `config`: the text of the configuration file. `hot_restart_directory`: the value of TMPDIR,
-  // which a process shares with the peer processes of its gateway.
-  explicit Process(const std::string& config, const std::string& hot_restart_directory = "");
+  // which a process shares with the peer processes of its gateway. `max_descriptors`: the limit on
+  // the descriptors of the process; 0: that of the test.
+  explicit Process(const std::string& config, const std::string& hot_restart_directory = "",
+                   std::size_t max_descriptors = 0);
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
   ~Process();
@@ -34,6 +36,11 @@
   void terminate() const { send_signal(SIGTERM); }
   void send_signal(int signal) const;
   std::string process_id() const { return std::to_string(pid_); }
+  // Whether the process has not ended. A process that has ended counts as running no longer, but
+  // wait_for_exit() still returns its exit code.
+  bool is_running() const;
+  // Whether the process has opened its configuration file and not closed it.
+  bool has_opened_configuration() const;
   // Waits until the process exits and returns its exit code, or none if a signal ended it.
   std::optional<int> wait_for_exit();
 
@@ -57,4 +64,10 @@
 // Returns `config`, a result of config_json(), with another memory limit.
 std::string with_memory_limit(const std::string& config, std::size_t megabytes);
 
+// Returns `config`, a result of config_json(), with another limit on descriptors.
+std::string with_descriptor_limit(const std::string& config, std::size_t descriptors);
+
+// Returns `config`, a result of config_json(), with the class of post_request() added.
+std::string with_post_class(const std::string& config);
+
 }  // namespace quota_gateway::net::testing
