Hold SIGHUP back until the process can handle it

Not shown to be what the operators saw: their records name no SIGHUP.

Cause: the signals were taken over after the configuration had been read, which takes half a second with a long list of servers. A SIGHUP before ends the process, as is its default action.

Change: SIGHUP is blocked from the first statement on until the handler is installed, and is then a reload. The time between exec and main() remains.

--- a/src/net/server/main.cpp
+++ b/src/net/server/main.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <exception>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -30,13 +31,14 @@
 }
 
 void serve() {
+  std::optional<HangUpBlock> hang_up_block(std::in_place);
   ConfigFile file = read_config_file();
   GatewayConfig config = make_config(file.tree);
   config.persisted_endpoints = std::move(file.known_endpoints);
   const std::string name = config.name;
   boost::asio::io_context io(1);
-  // Constructed before the server, since a SIGHUP before that would end the process.
   SignalHandler signals(io);
+  hang_up_block.reset();
   SystemMemory memory;
   GatewayServer server(io, std::move(config), &memory);
   ConfigReloader reloader(io, server, name, std::move(file.tree));
--- a/src/net/server/signal_handler.cpp
+++ b/src/net/server/signal_handler.cpp
@@ -4,6 +4,24 @@
 #include <utility>
 
 namespace quota_gateway::net {
+namespace {
+
+void change_signal_mask(int how) {
+  sigset_t hang_up;
+  ::sigemptyset(&hang_up);
+  ::sigaddset(&hang_up, SIGHUP);
+  ::pthread_sigmask(how, &hang_up, nullptr);
+}
+
+}  // namespace
+
+HangUpBlock::HangUpBlock() {
+  change_signal_mask(SIG_BLOCK);
+}
+
+HangUpBlock::~HangUpBlock() {
+  change_signal_mask(SIG_UNBLOCK);
+}
 
 SignalHandler::SignalHandler(boost::asio::io_context& io) : signals_(io, SIGTERM, SIGINT, SIGHUP) {}
 
--- a/src/net/server/signal_handler.hpp
+++ b/src/net/server/signal_handler.hpp
@@ -7,6 +7,16 @@
 
 namespace quota_gateway::net {
 
+// Holds SIGHUP back while the object exists: by default, the signal would end the process. It is
+// delivered afterwards.
+class HangUpBlock {
+ public:
+  HangUpBlock();
+  HangUpBlock(const HangUpBlock&) = delete;
+  HangUpBlock& operator=(const HangUpBlock&) = delete;
+  ~HangUpBlock();
+};
+
 class SignalHandler {
  public:
   // From its construction on, SIGTERM, SIGINT and SIGHUP do not end the process. Signals that
--- a/tests/net/server/process_test.cpp
+++ b/tests/net/server/process_test.cpp
@@ -8,6 +8,7 @@
 
 #include "support/gateway_process.hpp"
 #include "support/gateway_test_bed.hpp"
+#include "support/resource_usage.hpp"
 
 namespace quota_gateway::net::testing {
 namespace {
@@ -24,6 +25,24 @@
   }
 }
 
+// Guards against a process that ends by itself as its configuration changes while it starts.
+TEST(GatewayProcess, ASighupDuringItsStartIsAReload) {
+  constexpr int kEndpoints = 20'000;  // take long enough to read
+  constexpr Micros kMaxStartTime = 10'000'000;
+  asio::io_context io;
+  FakeServer server(io);
+  FakeDiscovery discovery(io);
+  Process process(
+      config_json(free_port(io), server, discovery, "", endpoint_entries_json(kEndpoints)));
+  const Micros start = Clock().now();
+  while (!process.has_opened_configuration() && Clock().now() < start + kMaxStartTime) {
+  }
+  process.request_reload();
+  const std::string log = process.read_log_until("configuration reloaded");
+  EXPECT_NE(log.find("configuration reloaded"), std::string::npos) << log;
+  EXPECT_TRUE(process.is_running());
+}
+
 TEST(GatewayProcess, SigtermFinishesRequestsInFlightAndExitsWithSuccess) {
   asio::io_context io;
   FakeServer server(io);
