Wait for the address of clients if another socket has it

Cause: if bind or listen failed, the process ended with exit code 1.

Change: the listener tries again every 50 ms and logs it; the gateway is not ready until then.

--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <boost/asio/error.hpp>
+#include <boost/asio/socket_base.hpp>
 #include <utility>
 
 #include "net/client/socket_status.hpp"
@@ -33,16 +34,25 @@
 
 // ---- The listening socket
 
-void ClientListener::listen(const tcp::endpoint& address) {
-  acceptor_.open(address.protocol());
+error_code ClientListener::listen(const tcp::endpoint& address) {
+  error_code ec;
   error_code ignored;
-  acceptor_.set_option(tcp::acceptor::reuse_address(true), ignored);
-  // Another process of this gateway that could not be asked for its socket may still listen at this
-  // address. With SO_REUSEPORT both processes listen, each with its own accept queue.
-  const int enabled = 1;
-  ::setsockopt(acceptor_.native_handle(), SOL_SOCKET, SO_REUSEPORT, &enabled, sizeof enabled);
-  acceptor_.bind(address);
-  acceptor_.listen();
+  acceptor_.open(address.protocol(), ec);
+  if (!ec) {
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), ignored);
+    // Another process of this gateway that could not be asked for its socket may still listen at
+    // this address. With SO_REUSEPORT both processes listen, each with its own accept queue.
+    const int enabled = 1;
+    ::setsockopt(acceptor_.native_handle(), SOL_SOCKET, SO_REUSEPORT, &enabled, sizeof enabled);
+    acceptor_.bind(address, ec);
+  }
+  if (!ec) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    acceptor_.close(ignored);
+  }
+  return ec;
 }
 
 void ClientListener::adopt(const tcp::endpoint& address, int listening_socket) {
--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -37,8 +37,9 @@
                  ClientListenerCallbacks callbacks);
 
   // Binds to `address` and listens. Clients can connect, but no connection is accepted before
-  // start_accepting(). Throws boost::system::system_error if the address can't be bound.
-  void listen(const boost::asio::ip::tcp::endpoint& address);
+  // start_accepting(). Returns an error if the address can't be listened on; a later call may
+  // succeed.
+  boost::system::error_code listen(const boost::asio::ip::tcp::endpoint& address);
   // Uses a socket that already listens at `address`, in place of listen(). Takes ownership of it.
   void adopt(const boost::asio::ip::tcp::endpoint& address, int listening_socket);
   int listening_socket() { return acceptor_.native_handle(); }
--- a/src/net/server/handover_coordinator.cpp
+++ b/src/net/server/handover_coordinator.cpp
@@ -4,10 +4,16 @@
 #include <iostream>
 
 namespace quota_gateway::net {
+namespace {
+
+constexpr Micros kListenRetryDelay = 50'000;  // us
+
+}  // namespace
 
 HandoverCoordinator::HandoverCoordinator(EventLoop loop, const GatewayConfig& config,
                                          Collaborators collaborators, std::size_t max_connections)
-    : pool_(collaborators.pool),
+    : loop_(loop),
+      pool_(collaborators.pool),
       clients_(collaborators.clients),
       events_(collaborators.events),
       endpoint_lists_(collaborators.endpoint_lists),
@@ -19,9 +25,27 @@
 void HandoverCoordinator::start() {
   if (hot_restart_.has_parent()) {
     clients_.adopt(listen_address_, hot_restart_.take_inherited_listener().value_or(-1));
+    on_listening();
   } else {
-    clients_.listen(listen_address_);
+    listen();
+  }
+}
+
+// While a gateway is restarted, its port may be taken for a moment, for example by a connection of
+// another process to which the system has given this port.
+void HandoverCoordinator::listen() {
+  const boost::system::error_code ec = clients_.listen(listen_address_);
+  if (!ec) {
+    return on_listening();
+  }
+  if (listen_log_limit_.try_log(loop_.clock.now())) {
+    std::cerr << "clients: cannot listen at " << listen_address_ << ": " << ec.message()
+              << "; trying again\n";
   }
+  loop_.timers.after(kListenRetryDelay, [this] { listen(); });
+}
+
+void HandoverCoordinator::on_listening() {
   hot_restart_.listen_for_child(clients_.listening_socket());
   on_processes_changed();
 }
--- a/src/net/server/handover_coordinator.hpp
+++ b/src/net/server/handover_coordinator.hpp
@@ -8,6 +8,7 @@
 #include "net/client/client_listener.hpp"
 #include "net/config/gateway_config.hpp"
 #include "net/event_loop/event_loop.hpp"
+#include "net/event_loop/log_rate_limit.hpp"
 #include "net/hot_restart/hot_restart.hpp"
 #include "net/server/endpoint_list_applier.hpp"
 #include "net/server/event_batcher.hpp"
@@ -29,16 +30,19 @@
   HandoverCoordinator(EventLoop loop, const GatewayConfig& config, Collaborators collaborators,
                       std::size_t max_connections);
 
-  // Listens for clients, on the socket of the parent process if there is one. Throws std::exception
-  // if the address cannot be listened on.
+  // Listens for clients, on the socket of the parent process if there is one. While the address
+  // cannot be listened on, tries again at intervals.
   void start();
   // Starts to accept clients in place of the parent process, if there is one, once the endpoint
   // list is ready.
   void replace_parent_if_ready();
 
  private:
+  void listen();
+  void on_listening();
   void on_processes_changed();
 
+  EventLoop loop_;
   ConnectionPool& pool_;
   ClientListener& clients_;
   EventBatcher& events_;
@@ -46,6 +50,7 @@
   const boost::asio::ip::tcp::endpoint listen_address_;
   const std::size_t max_connections_;
   HotRestart hot_restart_;
+  LogRateLimit listen_log_limit_;
   int peer_count_ = 0;  // as last reported to the decision module
 };
 
--- a/tests/net/server/process_test.cpp
+++ b/tests/net/server/process_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "support/gateway_process.hpp"
@@ -13,6 +14,14 @@
 namespace quota_gateway::net::testing {
 namespace {
 
+// Whether a process listens at that port.
+bool listens(asio::io_context& io, std::uint16_t port) {
+  tcp::socket socket(io);
+  error_code ec;
+  socket.connect({asio::ip::address_v4::loopback(), port}, ec);
+  return !ec;
+}
+
 TEST(GatewayProcess, BadConfigurationLogsOneLineAndExitsWithAnError) {
   for (const char* text :
        {"", "{", "[]", "{}", R"({"name":"n","listen":"x","discovery":"127.0.0.1:1"})",
@@ -25,6 +34,25 @@
   }
 }
 
+// Guards against a process that ends by itself as its port is taken for a moment while it restarts.
+TEST(GatewayProcess, WaitsForItsAddressIfAnotherSocketHasIt) {
+  asio::io_context io;
+  FakeServer server(io);
+  FakeDiscovery discovery(io);
+  const auto port = free_port(io);
+  std::optional<tcp::acceptor> other(std::in_place, io,
+                                     tcp::endpoint(asio::ip::address_v4::loopback(), port));
+  Process process(config_json(port, server, discovery));
+  const std::string log = process.read_log_until("trying again");
+  EXPECT_NE(log.find("cannot listen"), std::string::npos) << log;
+  EXPECT_TRUE(process.is_running());
+  other.reset();
+  EXPECT_TRUE(run_until(io, [&] { return listens(io, port); }));
+  Client client(io, {asio::ip::address_v4::loopback(), port});
+  client.send(get_request("a"));
+  EXPECT_TRUE(client.receive());
+}
+
 // Guards against a process that ends by itself as its configuration changes while it starts.
 TEST(GatewayProcess, ASighupDuringItsStartIsAReload) {
   constexpr int kEndpoints = 20'000;  // take long enough to read
