--- a/src/net/event_loop/timers.hpp
+++ b/src/net/event_loop/timers.hpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -24,7 +23,9 @@
   struct Key {
     Micros when = 0;
     std::uint64_t sequence_number = 0;
-    auto operator<=>(const Key&) const = default;
+    bool operator<(const Key& other) const {
+      return when != other.when ? when < other.when : sequence_number < other.sequence_number;
+    }
   };
 
  public:
--- a/src/net/memory/allocation_counter.cpp
+++ b/src/net/memory/allocation_counter.cpp
@@ -1,8 +1,6 @@
 #include "net/memory/allocation_counter.hpp"
 
-#ifdef __SANITIZE_ADDRESS__
-#include <sanitizer/allocator_interface.h>
-#else
+#ifndef __SANITIZE_ADDRESS__
 #include <malloc.h>
 
 #include <atomic>
@@ -12,6 +10,9 @@
 
 #ifdef __SANITIZE_ADDRESS__
 
+// From the interface of the sanitizer's allocator, whose header GCC does not install.
+extern "C" std::size_t __sanitizer_get_current_allocated_bytes();
+
 // The sanitizer has operators of its own, which find mismatched calls, and counts itself.
 std::size_t quota_gateway::net::counted_allocated_bytes() {
   return __sanitizer_get_current_allocated_bytes();
--- a/src/net/memory/memory_budget.cpp
+++ b/src/net/memory/memory_budget.cpp
@@ -19,7 +19,7 @@
 }  // namespace
 
 MemoryBudget::MemoryBudget(ProcessMemory& memory, std::size_t limit_bytes)
-    : memory_(&memory), limit_bytes_(limit_bytes) {
+    : memory_(&memory), total_limit_bytes_(limit_bytes), limit_bytes_(limit_bytes) {
   measure();
   lasting_overhead_bytes_ = overhead_bytes_;
 }
--- a/src/net/memory/memory_budget.hpp
+++ b/src/net/memory/memory_budget.hpp
@@ -25,6 +25,9 @@
   // `memory` must outlive the budget. `limit_bytes` must not be 0.
   MemoryBudget(ProcessMemory& memory, std::size_t limit_bytes);
 
+  // The limit is that of `count` processes together from now on, and each may use an equal share.
+  void share_among(std::size_t count) { limit_bytes_ = total_limit_bytes_ / count; }
+
   MemoryPressure pressure();
   // Returns whether a new request may be accepted. Counts those that may not.
   bool admits(RequestLength length);
@@ -34,7 +37,7 @@
   // Called at intervals.
   void release_free_blocks();
 
-  // Bytes that count against the limit, and the limit; 0 without a limit.
+  // Bytes that count against the limit, and the limit of this process; 0 without a limit.
   std::size_t used_bytes() const;
   std::size_t limit_bytes() const { return limit_bytes_; }
 
@@ -44,7 +47,8 @@
   MemoryPressure pressure_of(std::size_t bytes) const;
 
   ProcessMemory* memory_ = nullptr;  // null: there is no limit
-  std::size_t limit_bytes_ = 0;
+  std::size_t total_limit_bytes_ = 0;
+  std::size_t limit_bytes_ = 0;  // the share of this process
   // The total of allocated bytes at the last measurement, and when free blocks were last returned.
   std::size_t measured_at_total_ = 0;
   std::size_t released_at_total_ = 0;
--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -84,7 +84,7 @@
                  discovery_options(config, endpoint_lists_.persisted_revision()),
                  discovery_callbacks()),
       clients_(io, timers_, clock_, settings_, memory_, client_limits(config), client_callbacks()),
-      handover_(loop_, config, {pool_, clients_, events_, endpoint_lists_},
+      handover_(loop_, config, {pool_, clients_, memory_, events_, endpoint_lists_},
                 max_connections(config)),
       shutdown_(loop_, requests_, deadlines_, clients_) {
   use_counter(config.counter_address);
--- a/src/net/server/handover_coordinator.cpp
+++ b/src/net/server/handover_coordinator.cpp
@@ -15,6 +15,7 @@
     : loop_(loop),
       pool_(collaborators.pool),
       clients_(collaborators.clients),
+      memory_(collaborators.memory),
       events_(collaborators.events),
       endpoint_lists_(collaborators.endpoint_lists),
       listen_address_(config.listen_address),
@@ -57,9 +58,10 @@
     std::cerr << "hot restart: " << peer_count << " other processes\n";
     events_.push(PeerProcessesChanged{peer_count});
   }
-  // The connection limit applies to the gateway, so its processes share it.
-  pool_.set_max_connections(
-      std::max<std::size_t>(1, max_connections_ / std::size_t(1 + peer_count)));
+  // The limits apply to the gateway, so its processes share them.
+  const auto process_count = std::size_t(1 + peer_count);
+  pool_.set_max_connections(std::max<std::size_t>(1, max_connections_ / process_count));
+  memory_.share_among(process_count);
   if (hot_restart_.child_accepting()) {
     clients_.hand_over_new_clients();
   } else if (hot_restart_.has_parent()) {
--- a/src/net/server/handover_coordinator.hpp
+++ b/src/net/server/handover_coordinator.hpp
@@ -1,6 +1,6 @@
 // Coordinates a hot restart: decides, as processes of this gateway start and end, which of them
-// accepts new clients, and divides the connection limit between them. Owned by GatewayServer;
-// HotRestart transports the messages between the processes.
+// accepts new clients, and divides the limits on connections and memory between them. Owned by
+// GatewayServer; HotRestart transports the messages between the processes.
 #pragma once
 
 #include <cstddef>
@@ -10,6 +10,7 @@
 #include "net/event_loop/event_loop.hpp"
 #include "net/event_loop/log_rate_limit.hpp"
 #include "net/hot_restart/hot_restart.hpp"
+#include "net/memory/memory_budget.hpp"
 #include "net/server/endpoint_list_applier.hpp"
 #include "net/server/event_batcher.hpp"
 #include "net/upstream/connection_pool.hpp"
@@ -22,6 +23,7 @@
   struct Collaborators {
     ConnectionPool& pool;
     ClientListener& clients;
+    MemoryBudget& memory;
     EventBatcher& events;
     const EndpointListApplier& endpoint_lists;
   };
@@ -45,6 +47,7 @@
   EventLoop loop_;
   ConnectionPool& pool_;
   ClientListener& clients_;
+  MemoryBudget& memory_;
   EventBatcher& events_;
   const EndpointListApplier& endpoint_lists_;
   const boost::asio::ip::tcp::endpoint listen_address_;
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -84,7 +84,7 @@
 // limit, and would read, for example, all of a 3 GB body.
 void UpstreamConnection::expect_response() {
   head_result_.reset();
-  start_line_parsed_ = false;
+  start_line_parsed = false;
   parser.emplace();
   parser->header_limit(kMaxHeaderBytes);
   parser->body_limit(kMaxBodyBytes);
@@ -106,19 +106,19 @@
 bool UpstreamConnection::parse_some() {
   const std::size_t parseable = parser->is_header_done()
                                     ? received.size()
-                                    : parseable_head_bytes(received.view(), start_line_parsed_);
+                                    : parseable_head_bytes(received.view(), start_line_parsed);
   error_code ec;
   std::size_t parsed = 0;
   if (parseable > 0) {
     parsed = parser->put(asio::buffer(received.data(), parseable), ec);
-  } else if (!start_line_parsed_) {
+  } else if (!start_line_parsed) {
     ec = check_partial_start_line<ResponseParser>(received.view());
   }
   if (ec && ec != http::error::need_more) {
     throw boost::system::system_error(ec);  // not HTTP, or too large
   }
   received.consume(parsed);
-  start_line_parsed_ = start_line_parsed_ || parsed > 0;
+  start_line_parsed = start_line_parsed || parsed > 0;
   if (parser->is_header_done() && !parser->eager()) {
     parse_head();
   } else if (parser->eager()) {
--- a/src/net/upstream/upstream_connection.hpp
+++ b/src/net/upstream/upstream_connection.hpp
@@ -132,6 +132,8 @@
   Delivery delivery = Delivery::kBuffered;
   // Whether the complete response was received. Its delivery may still be in progress.
   bool response_complete = false;
+  // Whether the start line of the response that is being parsed was parsed.
+  bool start_line_parsed = false;
   int interim_responses = 0;
   // Time at which the response's first byte was received.
   Micros first_byte_at = 0;
@@ -149,7 +151,6 @@
   void parse_head();
   void check_unparsed_size() const;
 
-  bool start_line_parsed_ = false;  // of the response that is being parsed
   // What the head of the final response says. The parsed fields themselves are not kept: short
   // fields take many times the memory of their text, and the body may go on for long.
   std::optional<AttemptResult> head_result_;
--- a/tests/net/memory/memory_budget_test.cpp
+++ b/tests/net/memory/memory_budget_test.cpp
@@ -85,6 +85,18 @@
   EXPECT_EQ(memory.releases, 1);
 }
 
+// Guards against an old and a new process that together exceed the limit of their gateway.
+TEST(MemoryBudget, TheProcessesOfAHotRestartShareTheLimit) {
+  StatedMemory memory;
+  MemoryBudget budget(memory, kLimit);
+  memory.allocate(kLimit / 2);
+  budget.share_among(2);
+  EXPECT_EQ(budget.limit_bytes(), kLimit / 2);
+  EXPECT_EQ(budget.pressure(), MemoryPressure::kCritical);
+  budget.share_among(1);
+  EXPECT_EQ(budget.pressure(), MemoryPressure::kNone);
+}
+
 TEST(MemoryBudget, CountsAllocatedBytesIfTheResidentOnesAreUnknown) {
   StatedMemory memory;
   memory.is_resident_known = false;
