--- a/tests/support/resource_usage.hpp
+++ b/tests/support/resource_usage.hpp
@@ -16,6 +16,14 @@
 inline constexpr std::size_t kSanitizerMemoryFactor = 1;
 #endif
 
+// Divisor of the number of clients at full speed with the address sanitizer, which makes a gateway
+// about as many times slower.
+#ifdef __SANITIZE_ADDRESS__
+inline constexpr std::size_t kSanitizerLoadDivisor = 8;
+#else
+inline constexpr std::size_t kSanitizerLoadDivisor = 1;
+#endif
+
 // Returns the CPU time that the calling thread has used, in microseconds.
 std::int64_t thread_cpu_time_us();
 
