--- a/src/net/server/handover_coordinator.cpp
+++ b/src/net/server/handover_coordinator.cpp
@@ -59,7 +59,7 @@
     events_.push(PeerProcessesChanged{peer_count});
   }
   // The limits apply to the gateway, so its processes share them.
-  const auto process_count = std::size_t(1 + peer_count);
+  const std::size_t process_count = std::size_t{1} + std::size_t(peer_count);
   pool_.set_max_connections(std::max<std::size_t>(1, max_connections_ / process_count));
   memory_.share_among(process_count);
   if (hot_restart_.child_accepting()) {
