--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -119,7 +119,7 @@
   }
   const auto evictable = sessions_.find_evictable(last_client_);
   if (evictable) {
-    evictable->close();
+    evictable->close({CloseReason::kIdle});
   }
   return evictable != nullptr;
 }
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -102,7 +102,7 @@
     return read();
   }
   if (ec) {
-    return close();
+    return close(close_after_error(CloseReason::kReadFailed, ec));
   }
   on_received(size);
   read();
@@ -146,7 +146,7 @@
 void ClientSession::check_unread_input() {
   is_watching_input_ = false;
   if (is_in(SessionState::kAwaitingResponse) && has_peer_closed(socket_)) {
-    return close();
+    return close({CloseReason::kClientLeft});
   }
   check_body_arrival();
   read();
@@ -242,7 +242,7 @@
 void ClientSession::deliver_request() {
   // The client may have sent this request ahead and left, with its end behind unread input.
   if (has_peer_closed(socket_)) {
-    return close();
+    return close({CloseReason::kClientLeft});
   }
   ClientRequest request;
   try {
@@ -281,7 +281,7 @@
   try {
     piece = reader_.take_body_piece();
   } catch (const HttpError&) {
-    return close();
+    return close({CloseReason::kInvalidBody});
   }
   if (!piece) {
     return;
@@ -396,7 +396,7 @@
   output_.abort_stream();
   error_code ignored;
   socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-  close();
+  close({CloseReason::kResponseAborted});
 }
 
 void ClientSession::write_piece() {
@@ -413,7 +413,7 @@
           return;
         }
         if (ec) {
-          return close();
+          return close(close_after_error(CloseReason::kWriteFailed, ec));
         }
         output_.release_memory();
         (this->*on_written)();
@@ -456,16 +456,16 @@
 }
 
 void ClientSession::on_client_finished() {
-  close();
+  close({CloseReason::kFinished});
 }
 
 void ClientSession::close_if_idle() {
   if (is_idle_between_requests() && !has_unread_input(socket_)) {
-    close();
+    close({CloseReason::kIdle});
   }
 }
 
-void ClientSession::close() {
+void ClientSession::close(const SessionClose& cause) {
   if (is_in(SessionState::kClosed)) {
     return;
   }
@@ -473,6 +473,7 @@
   error_code ignored;
   socket_.close(ignored);
   if (request_) {
+    context_.unanswered_requests.on_closed(*request_, cause, context_.clock.now());
     context_.callbacks.on_client_disconnected(*request_);
   }
   context_.owner.on_session_closed(client_);
@@ -505,10 +506,10 @@
     case TimeoutAction::kRejectRequest:
       return reject(http::status::request_timeout, "the request was not received in time");
     case TimeoutAction::kClose:
-      return close();
+      return close({CloseReason::kTimedOut});
     case TimeoutAction::kCloseUnlessInputArrived:
       if (!has_unread_input(socket_)) {
-        close();
+        close({CloseReason::kTimedOut});
       }
       return;
     case TimeoutAction::kNone:
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -16,6 +16,7 @@
 #include "net/client/request_reader.hpp"
 #include "net/client/response_output.hpp"
 #include "net/client/session_activity.hpp"
+#include "net/client/session_close.hpp"
 #include "quota_gateway/time.hpp"
 
 namespace quota_gateway::net {
@@ -42,7 +43,7 @@
 
   // Closes the session if it is idle between requests and its socket has no unread input.
   void close_if_idle();
-  void close();
+  void close(const SessionClose& cause);
   // Rejects the request or closes the connection if a time limit has passed.
   void enforce_timeouts(Micros now);
 
--- a/src/net/client/client_session_context.hpp
+++ b/src/net/client/client_session_context.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 
 #include "net/client/client_callbacks.hpp"
+#include "net/client/session_close.hpp"
 #include "net/event_loop/timers.hpp"
 #include "net/http/buffer_limits.hpp"
 #include "net/memory/memory_budget.hpp"
@@ -36,6 +37,7 @@
   MemoryBudget& memory;
   ClientListenerCallbacks callbacks;
   BufferLimits buffer_limits;
+  UnansweredRequestLog unanswered_requests = {};
   bool draining = false;  // the gateway is shutting down; each response closes its connection
   // Another process accepts new clients. Each response closes its connection, so that the client
   // reconnects to that process.
--- a/tests/net/client/session_table_test.cpp
+++ b/tests/net/client/session_table_test.cpp
@@ -110,8 +110,8 @@
 
 TEST_F(SessionTableTest, ClosingASessionTwiceIsReportedOnce) {
   const auto session = add_session();
-  session->close();
-  session->close();
+  session->close({CloseReason::kIdle});
+  session->close({CloseReason::kIdle});
   EXPECT_EQ(owner.closed(), std::vector<ClientId>{1});
 }
 
