--- /dev/null
+++ b/tests/net/server/system_call_fault_test.cpp
@@ -0,0 +1,142 @@
+// A gateway process whose system calls on sockets are interrupted or do less than they were asked
+// to. Every request must get its response all the same.
+#include <gtest/gtest.h>
+
+#include <list>
+#include <optional>
+#include <string>
+
+#include "support/fake_counter.hpp"
+#include "support/gateway_process.hpp"
+#include "support/gateway_test_bed.hpp"
+
+namespace quota_gateway::net::testing {
+namespace {
+
+constexpr Micros kClientTimeout = 4'000'000;  // X-Expires-In of get_request()
+// A request that is answered later than this after its time is lost.
+constexpr Micros kMaxDelay = 500'000;
+
+std::string with_shared_counter(std::string config) {
+  const std::string zone = R"("Az":"a",)";
+  return config.replace(config.find(zone), zone.size(), zone + R"("SharedCounter":true,)");
+}
+
+class SystemCallFaults : public ::testing::Test {
+ protected:
+  void start(const std::string& faults, const std::string& extra_fields = "") {
+    std::string entries;
+    int number = 0;
+    for (const FakeServer& server : servers) {
+      entries +=
+          (number > 0 ? "," : "") + entry_json(prefixed_number("s", number), server.host_port());
+      ++number;
+    }
+    const std::string config = with_shared_counter(
+        with_post_class(config_json(port, servers.front(), discovery, extra_fields, entries)));
+    process.emplace(config, "", 0, faults);
+    ASSERT_NE(process->read_log_until("ready").find("ready"), std::string::npos);
+  }
+
+  Client client() { return {io, {asio::ip::address_v4::loopback(), port}}; }
+
+  // Sends the text and returns the status of the response, or 0 if none arrives in time.
+  int status_of(Client& client, const std::string& text) {
+    const Micros sent_at = Clock().now();
+    client.send(text);
+    const auto response = client.receive();
+    const bool in_time = Clock().now() - sent_at <= kClientTimeout + kMaxDelay;
+    return response && in_time ? int(response->result_int()) : 0;
+  }
+
+  // The servers answer with a body of this size.
+  void answer_with_body(std::size_t size) {
+    for (FakeServer& server : servers) {
+      server.on_request = [size](PeerConnection& connection, const HttpRequest&) {
+        connection.write(http_response("200 OK", "", std::string(size, 'x')));
+      };
+    }
+  }
+
+  asio::io_context io;
+  std::list<FakeServer> servers = [this] {
+    std::list<FakeServer> list;
+    for (int i = 0; i < 4; ++i) {
+      list.emplace_back(io);
+    }
+    return list;
+  }();
+  FakeDiscovery discovery{io};
+  std::uint16_t port = free_port(io);
+  std::optional<Process> process;
+};
+
+// Guards against an interrupted call being taken for the end of a connection.
+TEST_F(SystemCallFaults, InterruptedCallsLoseNoRequest) {
+  start("seed=1 interrupted=0.3");
+  for (int i = 0; i < 20; ++i) {
+    Client keeping = client();
+    EXPECT_EQ(status_of(keeping, get_request(prefixed_number("a", i))), 200) << i;
+    EXPECT_EQ(status_of(keeping, post_request(prefixed_number("b", i))), 200) << i;
+  }
+}
+
+// Guards against a reset that discards the last response on a connection with unread input.
+TEST_F(SystemCallFaults, InterruptedCallsDoNotDiscardALastResponse) {
+  start("seed=1 interrupted=0.3");
+  for (int i = 0; i < 20; ++i) {
+    Client invalid = client();
+    EXPECT_EQ(status_of(invalid, "GET /profile-read/nobody HTTP/1.1\r\n\r\n" +
+                                     std::string(std::size_t{256} << 10, 'x')),
+              400)
+        << i;
+  }
+}
+
+// Guards against a response that stays incomplete until its client sends something.
+TEST_F(SystemCallFaults, ShortWritesLoseNoResponse) {
+  constexpr std::size_t kBodySize = 20'000;
+  answer_with_body(kBodySize);
+  start("seed=1 short_send=0.9");
+  Client keeping = client();
+  for (int i = 0; i < 5; ++i) {
+    ASSERT_EQ(status_of(keeping, get_request(prefixed_number("a", i))), 200) << i;
+  }
+}
+
+// Guards against an upload that never begins.
+TEST_F(SystemCallFaults, AShortWriteOf100ContinueIsCompleted) {
+  start("seed=1 short_send=0.9");
+  for (int i = 0; i < 5; ++i) {
+    Client uploading = client();
+    uploading.send(post_head("Expect: 100-continue\r\nContent-Length: 5", prefixed_number("t", i)));
+    std::string received(std::string_view("HTTP/1.1 100 Continue\r\n\r\n").size(), '\0');
+    std::optional<error_code> done;
+    asio::async_read(uploading.socket, asio::buffer(received),
+                     [&](error_code ec, std::size_t) { done = ec; });
+    ASSERT_TRUE(run_until(io, [&] { return done.has_value(); }));
+    ASSERT_EQ(received, "HTTP/1.1 100 Continue\r\n\r\n");
+    ASSERT_EQ(status_of(uploading, "hello"), 200);
+  }
+}
+
+// Guards against calls that stay partly unwritten while the counter is sound.
+TEST_F(SystemCallFaults, ShortWritesToTheCounterLoseNoCall) {
+  constexpr int kRequests = 100;
+  constexpr Micros kInterval = 40'000;
+  FakeCounter counter(io);
+  start("seed=1 short_send=0.5", R"("counter":")" + counter.host_port() + R"(",)");
+  for (int i = 0; i < kRequests; ++i) {
+    Client closing = client();
+    ASSERT_EQ(status_of(closing, get_request(prefixed_number("a", i), "Connection: close\r\n")),
+              200)
+        << i;
+    const Micros next = Clock().now() + kInterval;
+    run_until(io, [&] { return Clock().now() >= next; });
+  }
+  EXPECT_GT(counter.calls.size(), 0U);
+  EXPECT_EQ(counter.peers.size(), 1U) << "the connection was given up";
+}
+
+}  // namespace
+}  // namespace quota_gateway::net::testing
--- a/tests/support/gateway_process.cpp
+++ b/tests/support/gateway_process.cpp
@@ -41,6 +41,15 @@
   ::setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+void load_system_call_faults(const std::string& faults) {
+  ::setenv("LD_PRELOAD", QUOTA_GATEWAY_SYSTEM_CALL_FAULTS, 1);
+  ::setenv("SYSTEM_CALL_FAULTS", faults.c_str(), 1);
+  // The address sanitizer expects its own library to be the first.
+  const char* const options = std::getenv("ASAN_OPTIONS");
+  const std::string all_options = std::string(options ? options : "") + ":verify_asan_link_order=0";
+  ::setenv("ASAN_OPTIONS", all_options.c_str(), 1);
+}
+
 std::string replace_once(std::string text, const std::string& found,
                          const std::string& replacement) {
   return text.replace(text.find(found), found.size(), replacement);
@@ -49,7 +58,7 @@
 }  // namespace
 
 Process::Process(const std::string& config, const std::string& hot_restart_directory,
-                 std::size_t max_descriptors)
+                 std::size_t max_descriptors, const std::string& system_call_faults)
     : config_path_(create_temporary_file()) {
   write_configuration(config);
   std::array<int, 2> pipe_ends{};
@@ -63,6 +72,9 @@
     if (max_descriptors > 0) {
       limit_descriptors(max_descriptors);
     }
+    if (!system_call_faults.empty()) {
+      load_system_call_faults(system_call_faults);
+    }
     ::setenv("RELAY_CONFIG", config_path_.c_str(), 1);
     ::setenv("TMPDIR", hot_restart_directory.c_str(), 1);
     ::execl(QUOTA_GATEWAY_PROGRAM, QUOTA_GATEWAY_PROGRAM, nullptr);
--- a/tests/support/gateway_process.hpp
+++ b/tests/support/gateway_process.hpp
@@ -18,9 +18,10 @@
  public:
   // `config`: the text of the configuration file. `hot_restart_directory`: the value of TMPDIR,
   // which a process shares with the peer processes of its gateway. `max_descriptors`: the limit on
-  // the descriptors of the process; 0: that of the test.
+  // the descriptors of the process; 0: that of the test. `system_call_faults`: the value of
+  // SYSTEM_CALL_FAULTS, see tests/support/system_call_faults; empty: no faults.
   explicit Process(const std::string& config, const std::string& hot_restart_directory = "",
-                   std::size_t max_descriptors = 0);
+                   std::size_t max_descriptors = 0, const std::string& system_call_faults = "");
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
   ~Process();
