--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -6,12 +6,14 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/write.hpp>
+#include <span>
 #include <string_view>
 #include <utility>
 
 #include "net/client/health_check.hpp"
 #include "net/client/socket_status.hpp"
 #include "net/http/framing.hpp"
+#include "net/system_call/socket_io.hpp"
 
 namespace quota_gateway::net {
 namespace {
@@ -96,7 +98,7 @@
   }
   std::size_t size = 0;
   if (!ec) {
-    size = socket_.read_some(asio::buffer(context_.read_buffer.data(), read_limit()), ec);
+    size = receive_some(socket_, std::span(context_.read_buffer).first(read_limit()), ec);
   }
   if (ec == asio::error::would_block) {
     return read();
@@ -214,7 +216,7 @@
   const RequestReader::Progress progress = reader_.advance();
   if (reader_.take_expects_continue()) {
     error_code ignored;
-    socket_.write_some(asio::buffer(kContinueResponse), ignored);
+    send_some(socket_, kContinueResponse, ignored);
   }
   return progress;
 }
--- a/src/net/client/lingering_close.cpp
+++ b/src/net/client/lingering_close.cpp
@@ -6,6 +6,8 @@
 #include <cstddef>
 #include <utility>
 
+#include "net/system_call/interrupted_call.hpp"
+
 namespace quota_gateway::net {
 namespace {
 
@@ -24,8 +26,10 @@
   const int socket = connection.socket().native_handle();
   std::size_t discarded = 0;
   while (discarded < kMaxDiscardBytes) {
-    const auto received = ::recv(socket, context.read_buffer.data(), context.read_buffer.size(),
-                                 MSG_TRUNC | MSG_DONTWAIT);
+    const auto received = repeat_if_interrupted([&] {
+      return ::recv(socket, context.read_buffer.data(), context.read_buffer.size(),
+                    MSG_TRUNC | MSG_DONTWAIT);
+    });
     if (received <= 0) {
       const bool no_input_yet = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
       return no_input_yet ? DiscardResult::kMaySendMore : DiscardResult::kFinished;
--- a/src/net/client/socket_status.cpp
+++ b/src/net/client/socket_status.cpp
@@ -8,12 +8,14 @@
 #include <boost/system/error_code.hpp>
 #include <vector>
 
+#include "net/system_call/interrupted_call.hpp"
+
 namespace quota_gateway::net {
 namespace {
 
 bool polls_ready(int socket, short events) {
   pollfd query{socket, events, 0};
-  return ::poll(&query, 1, 0) > 0;
+  return repeat_if_interrupted([&] { return ::poll(&query, 1, 0); }) > 0;
 }
 
 }  // namespace
@@ -39,7 +41,8 @@
   msghdr message{};
   message.msg_iov = parts.data();
   message.msg_iovlen = parts.size();
-  const auto peeked = ::recvmsg(socket.native_handle(), &message, MSG_PEEK | MSG_DONTWAIT);
+  const auto peeked = repeat_if_interrupted(
+      [&] { return ::recvmsg(socket.native_handle(), &message, MSG_PEEK | MSG_DONTWAIT); });
   return peeked == ssize_t(unread) ? tail : std::string();
 }
 
--- a/src/net/hot_restart/packet_socket.cpp
+++ b/src/net/hot_restart/packet_socket.cpp
@@ -11,6 +11,8 @@
 #include <cstring>
 #include <utility>
 
+#include "net/system_call/interrupted_call.hpp"
+
 namespace quota_gateway::net {
 namespace {
 
@@ -83,8 +85,10 @@
     return {};
   }
   OwnedDescriptor connected = open_packet_socket();
-  if (!connected.is_open() ||
-      ::connect(connected.get(), generic_address(*address), sizeof *address) != 0) {
+  const auto connect = [&] {
+    return ::connect(connected.get(), generic_address(*address), sizeof *address);
+  };
+  if (!connected.is_open() || repeat_if_interrupted(connect) != 0) {
     return {};
   }
   return connected;
@@ -111,8 +115,8 @@
 }
 
 OwnedDescriptor accept_packet_socket(int listening_socket) {
-  return OwnedDescriptor(
-      ::accept4(listening_socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  return OwnedDescriptor(repeat_if_interrupted(
+      [&] { return ::accept4(listening_socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC); }));
 }
 
 bool is_peer_same_user(int packet_socket) {
@@ -151,7 +155,8 @@
     header->cmsg_len = CMSG_LEN(sizeof(int));
     std::memcpy(CMSG_DATA(header), &*descriptor, sizeof(int));
   }
-  return ::sendmsg(packet_socket, &message, MSG_NOSIGNAL) == ssize_t(text.size());
+  return repeat_if_interrupted([&] { return ::sendmsg(packet_socket, &message, MSG_NOSIGNAL); }) ==
+         ssize_t(text.size());
 }
 
 Packet receive_packet(int packet_socket) {
@@ -163,9 +168,10 @@
   message.msg_iovlen = 1;
   message.msg_control = control.bytes.data();
   message.msg_controllen = control.bytes.size();
-  const auto size = ::recvmsg(packet_socket, &message, MSG_DONTWAIT | MSG_CMSG_CLOEXEC);
+  const auto size = repeat_if_interrupted(
+      [&] { return ::recvmsg(packet_socket, &message, MSG_DONTWAIT | MSG_CMSG_CLOEXEC); });
   Packet packet;
-  packet.is_end_of_stream = size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
+  packet.is_end_of_stream = size == 0 || (size < 0 && errno != EAGAIN);
   if (size > 0) {
     packet.text.assign(bytes.data(), std::size_t(size));
     packet.descriptor = extract_descriptor(message);
--- a/src/net/upstream/attempt_runner.cpp
+++ b/src/net/upstream/attempt_runner.cpp
@@ -1,13 +1,15 @@
 #include "net/upstream/attempt_runner.hpp"
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <cstdint>
 #include <memory>
+#include <string_view>
 #include <utility>
 
+#include "net/system_call/socket_io.hpp"
+
 namespace quota_gateway::net {
 namespace {
 
@@ -176,8 +178,8 @@
 // server may run a request from its last byte on.
 AttemptRunner::WriteResult AttemptRunner::write_output(const ConnectionPtr& connection) {
   error_code ec;
-  const auto remaining = asio::buffer(connection->output) + connection->output_written;
-  const std::size_t written = connection->socket.write_some(remaining, ec);
+  const auto remaining = std::string_view(connection->output).substr(connection->output_written);
+  const std::size_t written = send_some(connection->socket, remaining, ec);
   connection->output_written += written;
   if (written > 0) {
     connection->last_write_at = clock_.now();
--- a/src/net/upstream/response_reader.cpp
+++ b/src/net/upstream/response_reader.cpp
@@ -1,7 +1,6 @@
 #include "net/upstream/response_reader.hpp"
 
 #include <algorithm>
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -9,9 +8,11 @@
 #include <exception>
 #include <memory>
 #include <optional>
+#include <span>
 #include <utility>
 
 #include "net/http/framing.hpp"
+#include "net/system_call/socket_io.hpp"
 #include "net/upstream/response_classifier.hpp"
 
 namespace quota_gateway::net {
@@ -70,6 +71,10 @@
   return std::max(received_size, stated_size) > buffer_limits_.max_body_bytes;
 }
 
+std::size_t ResponseReader::read_limit() const {
+  return std::min(read_buffer_.size(), buffer_limits_.max_body_bytes);
+}
+
 void ResponseReader::read(const ConnectionPtr& connection) {
   if (connection->read_pending) {
     return;
@@ -118,8 +123,7 @@
   }
   std::size_t size = 0;
   if (!error) {
-    size = connection->socket.read_some(asio::buffer(read_buffer_, buffer_limits_.max_body_bytes),
-                                        error);
+    size = receive_some(connection->socket, std::span(read_buffer_).first(read_limit()), error);
   }
   if (error == asio::error::would_block) {
     return read(connection);
@@ -303,7 +307,7 @@
 void ResponseReader::receive_trailing_bytes(const ConnectionPtr& connection) {
   error_code ec;
   if (connection->received.empty() && connection->socket.available(ec) > 0) {
-    const std::size_t size = connection->socket.read_some(asio::buffer(read_buffer_), ec);
+    const std::size_t size = receive_some(connection->socket, read_buffer_, ec);
     connection->received.append(read_buffer_.data(), size);
   }
 }
--- a/src/net/upstream/response_reader.hpp
+++ b/src/net/upstream/response_reader.hpp
@@ -74,6 +74,7 @@
   // Returns whether the response in the parser is too long to be buffered, according to its stated
   // length or to the size received so far.
   bool is_long(UpstreamConnection::ResponseParser& parser) const;
+  std::size_t read_limit() const;
   // Delivers the received part of a long response. Returns false if there is nothing to deliver.
   bool deliver_part(const ConnectionPtr& connection);
   void deliver_beginning(const ConnectionPtr& connection);
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "net/http/head_prefix.hpp"
+#include "net/system_call/interrupted_call.hpp"
 #include "net/upstream/response_classifier.hpp"
 
 namespace quota_gateway::net {
@@ -27,7 +28,8 @@
 
 bool UpstreamConnection::is_open_without_unread_data() {
   char byte = 0;
-  const auto size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const auto size = repeat_if_interrupted(
+      [&] { return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT); });
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
