--- a/src/net/admin/admin_connection.cpp
+++ b/src/net/admin/admin_connection.cpp
@@ -1,12 +1,12 @@
 #include "net/admin/admin_connection.hpp"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <cstdint>
 #include <string_view>
 #include <utility>
 
 #include "net/http/framing.hpp"
+#include "net/system_call/send_all.hpp"
 
 namespace quota_gateway::net {
 namespace {
@@ -157,9 +157,11 @@
     return;
   }
   response_ = render_response(status, extra_header, body);
-  asio::async_write(
-      socket_, asio::buffer(response_),
-      [this, self = shared_from_this()](error_code ec, std::size_t) { on_response_written(ec); });
+  send_all(
+      socket_, response_, [this] { return socket_.is_open(); },
+      [this, self = shared_from_this()](error_code ec, std::size_t /*sent*/) {
+        on_response_written(ec);
+      });
   timers_.after(kLingerTime, [weak = weak_from_this()] {
     if (const auto self = weak.lock(); self && self->socket_.is_open()) {
       self->close();
@@ -168,9 +170,6 @@
 }
 
 void AdminConnection::on_response_written(error_code ec) {
-  if (!socket_.is_open()) {
-    return;
-  }
   if (ec) {
     return close();
   }
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -1,11 +1,9 @@
 #include "net/client/client_session.hpp"
 
 #include <algorithm>
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/socket_base.hpp>
-#include <boost/asio/write.hpp>
 #include <span>
 #include <string_view>
 #include <utility>
@@ -13,6 +11,7 @@
 #include "net/client/health_check.hpp"
 #include "net/client/socket_status.hpp"
 #include "net/http/framing.hpp"
+#include "net/system_call/send_all.hpp"
 #include "net/system_call/socket_io.hpp"
 
 namespace quota_gateway::net {
@@ -408,12 +407,9 @@
 
 void ClientSession::write_output(void (ClientSession::*on_written)()) {
   activity_.on_write_started();
-  asio::async_write(
-      socket_, asio::buffer(output_.bytes()),
-      [this, on_written, self = shared_from_this()](error_code ec, std::size_t /*size*/) {
-        if (!is_in(SessionState::kWriting)) {
-          return;
-        }
+  send_all(
+      socket_, output_.bytes(), [this] { return is_in(SessionState::kWriting); },
+      [this, on_written, self = shared_from_this()](error_code ec, std::size_t /*sent*/) {
         if (ec) {
           return close(close_after_error(CloseReason::kWriteFailed, ec));
         }
--- a/src/net/counter/counter_client.cpp
+++ b/src/net/counter/counter_client.cpp
@@ -2,13 +2,13 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <cmath>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "net/counter/counter_liveness.hpp"
+#include "net/system_call/send_all.hpp"
 
 namespace quota_gateway::net {
 namespace {
@@ -170,18 +170,17 @@
   if (commands.empty()) {
     return;
   }
-  asio::async_write(socket_, asio::buffer(commands),
-                    [this, self = shared_from_this(), generation = connection_generation_](
-                        error_code ec, std::size_t size) {
-                      if (generation != connection_generation_) {
-                        return;
-                      }
-                      calls_.on_written(size);
-                      if (ec) {
-                        return disconnect({Reason::kSocketError, ec});
-                      }
-                      write_pending_commands();
-                    });
+  const auto is_current = [this, generation = connection_generation_] {
+    return generation == connection_generation_;
+  };
+  send_all(socket_, commands, is_current,
+           [this, self = shared_from_this()](error_code ec, std::size_t sent) {
+             calls_.on_written(sent);
+             if (ec) {
+               return disconnect({Reason::kSocketError, ec});
+             }
+             write_pending_commands();
+           });
 }
 
 void CounterClient::read() {
--- a/src/net/discovery/discovery_client.cpp
+++ b/src/net/discovery/discovery_client.cpp
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <exception>
 #include <utility>
 
 #include "net/discovery/json_scanner.hpp"
+#include "net/system_call/send_all.hpp"
 
 namespace quota_gateway::net {
 namespace {
@@ -100,12 +100,12 @@
     request_ += "&after=" + std::to_string(revision_);
   }
   request_ += " HTTP/1.1\r\nHost: " + agent_.address().to_string() + "\r\n\r\n";
-  asio::async_write(socket_, asio::buffer(request_),
-                    [this, generation](error_code ec, std::size_t) {
-                      if (generation == connection_generation_ && ec) {
-                        disconnect({Reason::kConnectionFailed, ec.message()});
-                      }
-                    });
+  const auto is_current = [this, generation] { return generation == connection_generation_; };
+  send_all(socket_, request_, is_current, [this](error_code ec, std::size_t /*sent*/) {
+    if (ec) {
+      disconnect({Reason::kConnectionFailed, ec.message()});
+    }
+  });
   read(generation);
 }
 
--- a/tests/net/server/system_call_fault_test.cpp
+++ b/tests/net/server/system_call_fault_test.cpp
@@ -19,7 +19,7 @@
 
 std::string with_shared_counter(std::string config) {
   const std::string zone = R"("Az":"a",)";
-  return config.replace(config.find(zone), zone.size(), zone + R"("SharedCounter":true,)");
+  return config.replace(config.find(zone), zone.size(), zone + R"("Extra":{"SharedCounter":true},)");
 }
 
 class SystemCallFaults : public ::testing::Test {
