--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -214,12 +214,29 @@
 RequestReader::Progress ClientSession::advance_message() {
   const RequestReader::Progress progress = reader_.advance();
   if (reader_.take_expects_continue()) {
-    error_code ignored;
-    send_some(socket_, kContinueResponse, ignored);
+    output_.set_interim(kContinueResponse);
+    send_interim_response();
   }
   return progress;
 }
 
+// If the response begins before the interim one is sent, its bytes include the rest of that. An
+// error is left to the next read.
+void ClientSession::send_interim_response() {
+  error_code ec;
+  output_.on_interim_sent(send_some(socket_, output_.interim_rest(), ec));
+  const bool may_continue = !ec || ec == asio::error::would_block;
+  if (output_.interim_rest().empty() || !may_continue) {
+    return;
+  }
+  socket_.async_wait(tcp::socket::wait_write,
+                     [this, self = shared_from_this()](error_code wait_error) {
+                       if (!wait_error && !output_.interim_rest().empty()) {
+                         send_interim_response();
+                       }
+                     });
+}
+
 void ClientSession::take_message() {
   activity_.on_request_received();
   if (reader_.is_health_check()) {
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -76,6 +76,7 @@
   bool may_parse() const;
   void parse_input();
   RequestReader::Progress advance_message();
+  void send_interim_response();
   void take_message();
   void respond_to_health_check();
   void deliver_request();
--- a/src/net/client/response_output.cpp
+++ b/src/net/client/response_output.cpp
@@ -6,9 +6,13 @@
 
 namespace quota_gateway::net {
 
+std::string ResponseOutput::take_interim_rest() {
+  return std::string(std::exchange(interim_rest_, {}));
+}
+
 void ResponseOutput::set_response(const ClientResponse& response, ConnectionUse connection_use) {
   connection_use_ = connection_use;
-  bytes_ = encode_response(response, connection_use);
+  bytes_ = take_interim_rest() + encode_response(response, connection_use);
 }
 
 void ResponseOutput::begin_stream(std::optional<std::uint64_t> content_length,
@@ -17,7 +21,7 @@
   is_streaming_ = true;
   delimiter_ = delimiter;
   connection_use_ = connection_use;
-  bytes_ = encode_streamed_head(content_length, delimiter, connection_use);
+  bytes_ = take_interim_rest() + encode_streamed_head(content_length, delimiter, connection_use);
   if (!piece.empty()) {
     bytes_ += delimiter_ == BodyDelimiter::kChunked ? encode_chunk(piece) : piece;
   }
--- a/src/net/client/response_output.hpp
+++ b/src/net/client/response_output.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "net/client/response_encoder.hpp"
 
@@ -21,6 +22,13 @@
   // Whether a streamed response has begun and has neither ended nor been aborted.
   bool is_streaming() const { return is_streaming_; }
 
+  // Sets the interim response (1xx) that precedes the next response. Its bytes must stay valid.
+  void set_interim(std::string_view bytes) { interim_rest_ = bytes; }
+  // The part of the interim response that has not been sent. It becomes part of bytes() when the
+  // response begins.
+  std::string_view interim_rest() const { return interim_rest_; }
+  void on_interim_sent(std::size_t size) { interim_rest_.remove_prefix(size); }
+
   // Sets the bytes to a complete response.
   void set_response(const ClientResponse& response, ConnectionUse connection_use);
   // Sets the bytes to the head of a streamed response and the first piece of its body, which may be
@@ -41,7 +49,10 @@
   std::size_t allocated_bytes() const { return bytes_.capacity(); }
 
  private:
+  std::string take_interim_rest();
+
   std::string bytes_;
+  std::string_view interim_rest_;
   BodyDelimiter delimiter_ = BodyDelimiter::kContentLength;  // of the streamed response
   ConnectionUse connection_use_ = ConnectionUse::kKeepAlive;
   bool is_streaming_ = false;
--- a/tests/net/client/response_output_test.cpp
+++ b/tests/net/client/response_output_test.cpp
@@ -63,5 +63,14 @@
   EXPECT_LT(output.allocated_bytes(), 100U);
 }
 
+TEST(ResponseOutput, TheRestOfAnInterimResponsePrecedesTheResponse) {
+  ResponseOutput output;
+  output.set_interim("HTTP/1.1 100 Continue\r\n\r\n");
+  output.on_interim_sent(3);
+  output.set_response({}, ConnectionUse::kClose);
+  EXPECT_TRUE(output.bytes().starts_with("P/1.1 100 Continue\r\n\r\nHTTP/1.1 502"));
+  EXPECT_TRUE(output.interim_rest().empty());
+}
+
 }  // namespace
 }  // namespace quota_gateway::net
