--- a/tests/net/server/system_call_fault_test.cpp
+++ b/tests/net/server/system_call_fault_test.cpp
@@ -81,6 +81,16 @@
   }
 }
 
+// Guards against a shortage of memory of the system being taken for the end of a connection.
+TEST_F(SystemCallFaults, ABriefShortageOfMemoryLosesNoRequest) {
+  start("seed=1 no_memory=0.3");
+  for (int i = 0; i < 20; ++i) {
+    Client keeping = client();
+    EXPECT_EQ(status_of(keeping, get_request(prefixed_number("a", i))), 200) << i;
+    EXPECT_EQ(status_of(keeping, post_request(prefixed_number("b", i))), 200) << i;
+  }
+}
+
 // Guards against a reset that discards the last response on a connection with unread input.
 TEST_F(SystemCallFaults, InterruptedCallsDoNotDiscardALastResponse) {
   start("seed=1 interrupted=0.3");
