--- a/src/net/client/lingering_close.cpp
+++ b/src/net/client/lingering_close.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "net/system_call/interrupted_call.hpp"
+#include "net/system_call/socket_io.hpp"
 
 namespace quota_gateway::net {
 namespace {
@@ -31,7 +32,7 @@
                     MSG_TRUNC | MSG_DONTWAIT);
     });
     if (received <= 0) {
-      const bool no_input_yet = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+      const bool no_input_yet = received < 0 && is_temporary_error(errno);
       return no_input_yet ? DiscardResult::kMaySendMore : DiscardResult::kFinished;
     }
     connection.on_input_discarded();
--- a/src/net/system_call/socket_io.cpp
+++ b/src/net/system_call/socket_io.cpp
@@ -15,7 +15,7 @@
 using boost::system::error_code;
 
 error_code last_error() {
-  if (errno == EAGAIN || errno == EWOULDBLOCK) {
+  if (is_temporary_error(errno)) {
     return asio::error::would_block;
   }
   return {errno, asio::error::get_system_category()};
@@ -23,11 +23,14 @@
 
 }  // namespace
 
+bool is_temporary_error(int error) {
+  return error == EAGAIN || error == EWOULDBLOCK || error == ENOBUFS || error == ENOMEM;
+}
+
 std::size_t receive_some(tcp::socket& socket, std::span<char> buffer, error_code& ec) {
   ec.clear();
-  const auto received = repeat_if_interrupted([&] {
-    return ::recv(socket.native_handle(), buffer.data(), buffer.size(), MSG_DONTWAIT);
-  });
+  const auto received = repeat_if_interrupted(
+      [&] { return ::recv(socket.native_handle(), buffer.data(), buffer.size(), MSG_DONTWAIT); });
   if (received < 0) {
     ec = last_error();
   } else if (received == 0) {
