Hot restart test: wait for the end of the killed parent before its port is used again

AChildServesOnWhenItsParentDies failed once in a run of 565 tests with "connect: Connection refused" after 117 ms. The grandchild uses the admin port of the parent, which was killed but not waited for. The test waits for the end of the parent now; all its checks stay.

--- a/tests/net/hot_restart/hot_restart_test.cpp
+++ b/tests/net/hot_restart/hot_restart_test.cpp
@@ -162,6 +162,7 @@
   // listening socket.
   child.send_signal(SIGKILL);
   child.wait_for_exit();
+  parent.wait_for_exit();  // else it may still hold the address of its admin listener
   ASSERT_TRUE(std::filesystem::exists(socket_file()));
   Process grandchild(config_with_admin_port(parent_admin_port), directory);
   grandchild.read_log_until("ready");
