--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -116,7 +116,7 @@
     return reject_for_lack_of_memory();
   }
   if (!is_in(SessionState::kClosing)) {
-    reader_.append_input(context_.read_buffer.data(), size);
+    reader_.append_input(context_.read_buffer.data(), size, context_.clock.now());
   }
   if (may_parse()) {
     parse_input();
--- a/src/net/client/request_reader.cpp
+++ b/src/net/client/request_reader.cpp
@@ -22,6 +22,11 @@
 
 }  // namespace
 
+void RequestReader::append_input(const char* bytes, std::size_t size, Micros now) {
+  arrivals_.on_received(size, input_.size(), now);
+  input_.append(bytes, size);
+}
+
 std::size_t RequestReader::allocated_bytes() const {
   return input_.allocated_bytes() + (parser_ ? parser_->get().body().capacity() : 0);
 }
@@ -127,6 +132,7 @@
 ClientRequest RequestReader::take_request() {
   ClientRequest request = std::move(*request_);
   request_.reset();
+  request.received_at = arrivals_.of_last_parsed(input_.size());
   ForwardedRequest& forwarded = request.forwarded;
   forwarded.body = std::exchange(parser_->get().body(), {});
   if (request.idempotent && !forwarded.body.empty()) {
--- a/src/net/client/request_reader.hpp
+++ b/src/net/client/request_reader.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 
+#include "net/client/arrival_times.hpp"
 #include "net/client/request_validator.hpp"
 #include "net/http/buffer_limits.hpp"
 #include "net/http/framing.hpp"
@@ -34,7 +35,8 @@
   explicit RequestReader(const Settings& settings, BufferLimits limits = {})
       : settings_(settings), limits_(limits) {}
 
-  void append_input(const char* bytes, std::size_t size) { input_.append(bytes, size); }
+  // `now`: when the bytes arrived.
+  void append_input(const char* bytes, std::size_t size, Micros now);
   bool has_input() const { return !input_.empty(); }
   // Number of bytes that have not been parsed.
   std::size_t buffered_bytes() const { return input_.size(); }
@@ -105,6 +107,7 @@
   const Settings& settings_;
   const BufferLimits limits_;
   ReceiveBuffer input_;
+  ArrivalTimes arrivals_;  // of `input_`
   std::optional<Parser> parser_;
   std::optional<ClientRequest> request_;  // set while a validated request has not been taken
   bool start_line_parsed_ = false;        // of the open message
--- a/src/net/client/request_validator.hpp
+++ b/src/net/client/request_validator.hpp
@@ -17,6 +17,7 @@
 struct ClientRequest {
   RequestArrived arrived;      // the server sets `id`, `deadline` and `body_pending`
   Micros timeout = 0;          // how long the client waits for the response
+  Micros received_at = 0;      // when the last of its bytes arrived; the request reader sets it
   bool idempotent = false;     // the request class is idempotent, so a body is not allowed
   ForwardedRequest forwarded;  // the request reader adds the body
 };
--- a/src/net/server/request_dispatcher.cpp
+++ b/src/net/server/request_dispatcher.cpp
@@ -57,14 +57,20 @@
   request.idempotent = accepted.idempotent;
   request.response_counts = &stats_.on_request_started(arrived.request_class);
   request.time_limit = time_limit_for(accepted.timeout);
-  request.deadline = deadlines_.limit(now + request.time_limit);
   request.body_complete = accepted.forwarded.body_complete;
+  // The rest of a body that is incomplete is still to come; its last byte starts the time anew.
+  const Micros received_at = request.body_complete ? accepted.received_at : now;
+  request.deadline = deadlines_.limit(received_at + request.time_limit);
   request.body_arrived = request.body_complete;
   request.forwarded = std::move(accepted.forwarded);
   // The gateway assigns an id of its own, since two clients may use the same one.
   arrived.id = std::to_string(id);
   arrived.deadline = request.deadline;
   arrived.body_pending = !request.body_complete;
+  if (request.deadline <= now) {
+    boost::asio::post(loop_.io, [this, id] { reject_overdue(id); });
+    return id;
+  }
   if (request.body_complete) {
     deadlines_.schedule_decision_check(request, id, request.deadline);
   }
@@ -76,6 +82,19 @@
   return id;
 }
 
+// The request waited behind another one on its connection, or the process is about to end. It never
+// reaches the decision module, and no quota is charged for it.
+void RequestDispatcher::reject_overdue(std::uint64_t id) {
+  const auto entry = requests_.find(id);
+  if (entry == requests_.end()) {
+    return;
+  }
+  ClientResponse rejection;
+  rejection.status = int(http::status::service_unavailable);
+  finisher_.answer(entry->second, rejection);
+  requests_.remove_if_done(entry);
+}
+
 void RequestDispatcher::on_client_disconnect(std::uint64_t id) {
   const auto entry = requests_.find(id);
   if (entry == requests_.end()) {
--- a/src/net/server/request_dispatcher.hpp
+++ b/src/net/server/request_dispatcher.hpp
@@ -71,6 +71,8 @@
     RequestArrived arrived;
   };
 
+  // Rejects a request whose time was over before it was accepted.
+  void reject_overdue(std::uint64_t id);
   // Whether the attempt that was just added to the request may be sent.
   bool may_send(const Request& request) const;
 
--- a/tests/net/client/request_reader_test.cpp
+++ b/tests/net/client/request_reader_test.cpp
@@ -32,7 +32,7 @@
  protected:
   // Passes `input` to the reader and parses until a message is ready or more input is needed.
   RequestReader::Progress feed(const std::string& input) {
-    reader.append_input(input.data(), input.size());
+    reader.append_input(input.data(), input.size(), 0);
     if (!reader.is_message_open()) {
       reader.start_message();
     }
@@ -70,13 +70,13 @@
   EXPECT_TRUE(reader.is_body_incomplete());
   EXPECT_FALSE(reader.take_body_piece().has_value());
 
-  reader.append_input("ab", 2);
+  reader.append_input("ab", 2, 0);
   const auto piece = reader.take_body_piece();
   ASSERT_TRUE(piece.has_value());
   EXPECT_EQ(piece->bytes, "ab");
   EXPECT_FALSE(piece->is_last);
 
-  reader.append_input("cd", 2);
+  reader.append_input("cd", 2, 0);
   const auto last = reader.take_body_piece();
   ASSERT_TRUE(last.has_value());
   EXPECT_EQ(last->bytes, "cd");
@@ -120,7 +120,7 @@
 TEST_F(RequestReaderTest, ASmallerLimitMakesALongBodyReadyEarlier) {
   RequestReader small(settings, {.max_body_bytes = 1'000});
   const std::string input = request_head(5'000) + std::string(1'001, 'x');
-  small.append_input(input.data(), input.size());
+  small.append_input(input.data(), input.size(), 0);
   small.start_message();
   while (small.advance() == RequestReader::Progress::kAdvanced) {
   }
