--- a/src/net/client/arrival_times.cpp
+++ b/src/net/client/arrival_times.cpp
@@ -24,4 +24,11 @@
   return arrivals_.front().at;
 }
 
+Micros ArrivalTimes::of_unparsed(std::size_t offset, std::size_t unparsed) const {
+  const std::uint64_t position = received_ - unparsed + offset;
+  return std::find_if(arrivals_.begin(), arrivals_.end(),
+                      [&](const Arrival& each) { return each.end > position; })
+      ->at;
+}
+
 }  // namespace quota_gateway::net
--- a/src/net/client/arrival_times.hpp
+++ b/src/net/client/arrival_times.hpp
@@ -18,6 +18,10 @@
   // follow it; some byte must have been parsed since the previous call with none unparsed.
   Micros of_last_parsed(std::size_t unparsed);
 
+  // Returns when the byte with that offset behind the last parsed one arrived, or up to kResolution
+  // earlier. It must be one of the `unparsed` bytes.
+  Micros of_unparsed(std::size_t offset, std::size_t unparsed) const;
+
   // Bytes that arrive within this time count as one arrival, which limits the memory.
   static constexpr Micros kResolution = 10'000;  // us
 
--- a/src/net/client/client_callbacks.hpp
+++ b/src/net/client/client_callbacks.hpp
@@ -39,6 +39,10 @@
   // The last byte of a body has arrived, though on_body_piece has not delivered all of it. From now
   // on the time of the request counts. Called at most once for each request.
   std::function<void(std::uint64_t request)> on_body_arrived = [](std::uint64_t) {};
+  // The client waits for another request, which follows this one on its connection, only until
+  // `end`. The response to this one comes first, so it must come by then.
+  std::function<void(std::uint64_t request, Micros end)> on_following_request_ends =
+      [](std::uint64_t, Micros) {};
   // The latest piece of the response has been written to the socket; the next one may be sent.
   std::function<void(std::uint64_t request)> on_piece_sent;
   // Whether /_health tells load balancers to send clients to this gateway.
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -125,6 +125,7 @@
     deliver_body_piece();
   } else {
     check_body_arrival();
+    check_following_requests();
   }
 }
 
@@ -272,7 +273,18 @@
   body_arrived_ = !reader_.is_body_incomplete();
   request_ = context_.callbacks.on_request(client_, std::move(request));
   if (!request_) {
-    reject(http::status::conflict, "a request with this X-Trace-Id is in progress");
+    return reject(http::status::conflict, "a request with this X-Trace-Id is in progress");
+  }
+  check_following_requests();
+}
+
+void ClientSession::check_following_requests() {
+  const bool awaits_response = is_in(SessionState::kAwaitingResponse) && request_;
+  if (!awaits_response || !reader_.has_input() || reader_.is_body_incomplete()) {
+    return;
+  }
+  if (const auto end = reader_.earliest_end_of_following_requests()) {
+    context_.callbacks.on_following_request_ends(*request_, *end);
   }
 }
 
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -81,6 +81,7 @@
   void respond_to_health_check();
   void deliver_request();
   void deliver_body_piece();
+  void check_following_requests();
 
   void reject(boost::beast::http::status status, const std::string& reason);
   // Whether the memory allows the request whose head has just arrived or which is ready. A long one
--- a/src/net/client/request_reader.cpp
+++ b/src/net/client/request_reader.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/string.hpp>
 #include <utility>
 
+#include "net/client/pipelined_requests.hpp"
 #include "net/http/head_prefix.hpp"
 
 namespace quota_gateway::net {
@@ -186,6 +187,15 @@
   return piece;
 }
 
+std::optional<Micros> RequestReader::earliest_end_of_following_requests() const {
+  std::optional<Micros> earliest;
+  for (const PipelinedRequest& request : find_pipelined_requests(input_.view())) {
+    const Micros end = arrivals_.of_unparsed(request.end - 1, input_.size()) + request.timeout;
+    earliest = std::min(earliest.value_or(end), end);
+  }
+  return earliest;
+}
+
 void RequestReader::end_message() {
   parser_.reset();
   request_.reset();
--- a/src/net/client/request_reader.hpp
+++ b/src/net/client/request_reader.hpp
@@ -81,6 +81,9 @@
   // Returns the part of the taken request's body that has arrived since the last piece, or nullopt
   // if nothing has. Throws HttpError.
   std::optional<BodyPiece> take_body_piece();
+  // Returns when the client stops waiting for one of the complete requests that follow the taken
+  // one, the earliest such time. Empty if there is none. The taken request must be complete.
+  std::optional<Micros> earliest_end_of_following_requests() const;
   // Drops the open message, if there is one. Keeps unparsed input.
   void end_message();
 
--- a/src/net/client/request_validator.cpp
+++ b/src/net/client/request_validator.cpp
@@ -91,22 +91,6 @@
              : checked_id(single_header(request, kHeader), kHeader);
 }
 
-// Parses a timeout such as "480m" (milliseconds) or "480000u" (microseconds). The result is limited
-// to the deadline of the request class, because a later response has no value.
-Micros parse_timeout(std::string_view text, const ClassSettings& request_class) {
-  constexpr const char* kHeader = "X-Expires-In";
-  const char unit = text.back();
-  if (unit != 'm' && unit != 'u') {
-    throw HttpError(std::string("bad ") + kHeader);
-  }
-  text.remove_suffix(1);
-  const double timeout = parse_number(text, kHeader) * (unit == 'm' ? kMicrosPerMilli : 1);
-  if (timeout < 1) {
-    throw HttpError(std::string("bad ") + kHeader);
-  }
-  return Micros(std::min(timeout, double(request_class.deadline)));
-}
-
 // The parameters of a Quota-Info header. A missing parameter is nullopt.
 struct QuotaInfo {
   std::optional<double> units;
@@ -232,6 +216,21 @@
 
 }  // namespace
 
+Micros parse_expires_in(std::string_view text) {
+  constexpr const char* kHeader = "X-Expires-In";
+  const char unit = text.back();
+  if (unit != 'm' && unit != 'u') {
+    throw HttpError(std::string("bad ") + kHeader);
+  }
+  text.remove_suffix(1);
+  const double timeout = parse_number(text, kHeader) * (unit == 'm' ? kMicrosPerMilli : 1);
+  if (timeout < 1) {
+    throw HttpError(std::string("bad ") + kHeader);
+  }
+  constexpr double kMaxTimeout = 1e15;  // us; fits into Micros
+  return Micros(std::min(timeout, kMaxTimeout));
+}
+
 ClientRequest validate_request(const Request& request, const Settings& settings) {
   ClientRequest result;
   RequestArrived& arrived = result.arrived;
@@ -248,7 +247,9 @@
   forwarded.trace_id = required_id(request, "X-Trace-Id");
   forwarded.idempotency_key = idempotency_key(request, request_class.idempotency);
   forwarded.host = required_id(request, "Host");
-  result.timeout = parse_timeout(required_header(request, "X-Expires-In"), request_class);
+  // A response after the deadline of the class has no value.
+  result.timeout =
+      std::min(parse_expires_in(required_header(request, "X-Expires-In")), request_class.deadline);
   arrived.plan = find_named(settings.plans, required_header(request, "Plan"), "plan").name;
   apply_quota_info(required_header(request, "Quota-Info"), settings, arrived);
   arrived.is_client_retry = request["X-Second-Try"] == "1";
--- a/src/net/client/request_validator.hpp
+++ b/src/net/client/request_validator.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <boost/beast/http/message.hpp>
+#include <string_view>
 
 #include "net/http/forwarded_request.hpp"
 #include "net/http/framing.hpp"
@@ -22,6 +23,10 @@
   ForwardedRequest forwarded;  // the request reader adds the body
 };
 
+// Parses the value of X-Expires-In, such as "480m" (milliseconds) or "480000u" (microseconds).
+// Throws HttpError if it is invalid.
+Micros parse_expires_in(std::string_view text);
+
 // Validates the head of `request` and returns its parts; the body is not examined. Throws HttpError
 // with the status and the reason to send to the client.
 ClientRequest validate_request(const boost::beast::http::request<IncrementalBody>& request,
--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -126,6 +126,9 @@
   callbacks.on_request = [this](ClientId client, ClientRequest request) {
     return dispatcher_.on_client_request(client, std::move(request));
   };
+  callbacks.on_following_request_ends = [this](std::uint64_t id, Micros end) {
+    deadlines_.limit_by_following_request(id, end);
+  };
   callbacks.on_client_disconnected = [this](std::uint64_t id) {
     dispatcher_.on_client_disconnect(id);
   };
--- a/src/net/server/request_deadlines.cpp
+++ b/src/net/server/request_deadlines.cpp
@@ -88,6 +88,26 @@
   }
   std::cerr << "request " << id
             << " failed: the decision module made no decision by its deadline\n";
+  fail_unanswered(id);
+}
+
+void RequestDeadlines::limit_by_following_request(std::uint64_t id, Micros end) {
+  const auto entry = requests_.find(id);
+  const Micros latest = end + kMaxAnswerDelay;
+  if (entry == requests_.end() || latest >= entry->second.deadline) {
+    return;
+  }
+  entry->second.deadline = latest;
+  entry->second.decision_check =
+      loop_.timers.cancellable_at(latest, [this, id] { fail_unanswered(id); });
+}
+
+// The decision module learns of it as of a client that has left, and ends the attempt.
+void RequestDeadlines::fail_unanswered(std::uint64_t id) {
+  const auto entry = requests_.find(id);
+  if (entry == requests_.end() || entry->second.finished || entry->second.response_started) {
+    return;
+  }
   entry->second.last_attempt_timed_out = true;
   finisher_.fail(entry);
   events_.push(ClientDisconnected{std::to_string(id)});
--- a/src/net/server/request_deadlines.hpp
+++ b/src/net/server/request_deadlines.hpp
@@ -24,6 +24,10 @@
 // timeout is short.
 constexpr Micros kDecisionGrace = 10'000;
 
+// How long after its time a request may still be answered, less than the 0.5 s after which it
+// counts as lost.
+constexpr Micros kMaxAnswerDelay = 250'000;  // us
+
 class RequestDeadlines {
  public:
   // The other modules of the server that deadlines affect. They may be constructed after this
@@ -54,6 +58,11 @@
   // module has not ended it.
   void schedule_decision_check(Request& request, std::uint64_t id, Micros deadline);
 
+  // Fails the request kMaxAnswerDelay after `end` at the latest: its client waits only until then
+  // for another request, whose response must follow this one's. No effect on a response that has
+  // begun.
+  void limit_by_following_request(std::uint64_t id, Micros end);
+
   // ---- For the shutdown
   // Limits every deadline that is set from now on to `latest`.
   void set_latest_deadline(Micros latest);
@@ -69,6 +78,7 @@
   // complete body, and the settings forbid to cancel attempts. Its response is dropped.
   bool must_not_be_cancelled(const Request& request) const;
   void fail_without_decision(std::uint64_t id);
+  void fail_unanswered(std::uint64_t id);
 
   EventLoop loop_;
   const Settings& settings_;
--- a/src/net/server/request_dispatcher.cpp
+++ b/src/net/server/request_dispatcher.cpp
@@ -17,10 +17,6 @@
 constexpr Micros kNetworkAllowance = 20'000;
 constexpr double kMaxNetworkAllowanceShare = 0.1;
 
-// How long after its time a request may still be answered, less than the 0.5 s after which it
-// counts as lost.
-constexpr Micros kMaxAnswerDelay = 250'000;
-
 Micros time_limit_for(Micros client_timeout) {
   const auto max_allowance = Micros(kMaxNetworkAllowanceShare * double(client_timeout));
   return client_timeout - std::min(kNetworkAllowance, max_allowance);
