--- a/tests/net/server/pipelining_test.cpp
+++ b/tests/net/server/pipelining_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -102,5 +103,33 @@
   expect_answers_in_time({{true, 2'000}, {true, 300}, {true, 2'000}});
 }
 
+// Guards against requests that were read and are dropped with the close of their connection.
+TEST_F(Pipelining, RequestsThatWereReadAreAnsweredDuringAShutdown) {
+  constexpr int kRequests = 3;
+  std::shared_ptr<PeerConnection> held;
+  for (FakeServer* server : {&server1, &server2, &server3, &server4}) {
+    server->on_request = [&](PeerConnection& connection, const HttpRequest&) {
+      if (!held) {
+        held = connection.shared_from_this();
+      } else {
+        connection.write(http_response("200 OK", "", "x"));
+      }
+    };
+  }
+  Client client = test_bed.client();
+  std::string text;
+  for (int i = 0; i < kRequests; ++i) {
+    text += get_request(prefixed_number("p", i));
+  }
+  client.send(text);
+  ASSERT_TRUE(test_bed.run_until([&] { return held != nullptr; }));
+  test_bed.server->drain([] {});
+  held->write(http_response("200 OK", "", "x"));
+  for (int i = 0; i < kRequests; ++i) {
+    EXPECT_EQ(status(client), 200) << i;
+  }
+  EXPECT_TRUE(client.wait_for_close());
+}
+
 }  // namespace
 }  // namespace quota_gateway::net::testing
