--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -324,8 +324,11 @@
 
 // ---- Responses
 
+// Requests that were read behind this one are answered before the connection is closed, unless the
+// client has asked for the close.
 ConnectionUse ClientSession::use_after_response() const {
-  const bool closes = context_.draining || context_.handing_over || !reader_.keeps_alive();
+  const bool is_ending = context_.draining || context_.handing_over;
+  const bool closes = !reader_.keeps_alive() || (is_ending && !reader_.has_input());
   return closes ? ConnectionUse::kClose : ConnectionUse::kKeepAlive;
 }
 
--- a/tests/net/server/system_call_fault_test.cpp
+++ b/tests/net/server/system_call_fault_test.cpp
@@ -19,7 +19,8 @@
 
 std::string with_shared_counter(std::string config) {
   const std::string zone = R"("Az":"a",)";
-  return config.replace(config.find(zone), zone.size(), zone + R"("Extra":{"SharedCounter":true},)");
+  return config.replace(config.find(zone), zone.size(),
+                        zone + R"("Extra":{"SharedCounter":true},)");
 }
 
 class SystemCallFaults : public ::testing::Test {
