--- a/tests/net/server/memory_soak_test.cpp
+++ b/tests/net/server/memory_soak_test.cpp
@@ -9,7 +9,6 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
-#include <cstdio>
 #include <cstdlib>
 #include <iostream>
 #include <list>
@@ -25,6 +24,7 @@
 #include "support/listed_endpoints.hpp"
 #include "support/memory_load.hpp"
 #include "support/resource_usage.hpp"
+#include "support/soak_seeds.hpp"
 
 namespace quota_gateway::net::testing {
 namespace {
@@ -49,19 +49,6 @@
 enum class SignalSeries { kNone, kKills, kReloads, kTerminations };
 constexpr int kSignalSeries = 4;
 
-struct SeedRange {
-  int first = 1;
-  int last = 6;
-};
-
-SeedRange seeds() {
-  SeedRange range;
-  if (const char* text = std::getenv("QUOTA_GATEWAY_SOAK_SEEDS")) {
-    std::sscanf(text, "%d-%d", &range.first, &range.last);
-  }
-  return range;
-}
-
 // The limits of a process and what is done to it.
 struct LoadPlan {
   std::size_t memory_megabytes = 32;
@@ -321,7 +308,8 @@
   EXPECT_LT(left, idle + std::max((peak - idle) / 2, (max_bytes() - idle) / 4));
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, MemorySoak, ::testing::Range(seeds().first, seeds().last + 1));
+INSTANTIATE_TEST_SUITE_P(Seeds, MemorySoak,
+                         ::testing::Range(soak_seeds().first, soak_seeds().last + 1));
 
 }  // namespace
 }  // namespace quota_gateway::net::testing
--- a/tests/net/server/system_call_fault_test.cpp
+++ b/tests/net/server/system_call_fault_test.cpp
@@ -92,6 +92,21 @@
   }
 }
 
+// Guards against connections that wait to be accepted until another client connects.
+TEST_F(SystemCallFaults, AFailedAcceptDelaysNoOtherConnection) {
+  constexpr int kClients = 20;
+  start("seed=1 setup=0.3");
+  std::list<Client> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.push_back(client());
+  }
+  int number = 0;
+  for (Client& waiting : clients) {
+    ASSERT_NE(status_of(waiting, get_request(prefixed_number("a", number))), 0) << number;
+    ++number;
+  }
+}
+
 // Guards against a reset that discards the last response on a connection with unread input.
 TEST_F(SystemCallFaults, InterruptedCallsDoNotDiscardALastResponse) {
   start("seed=1 interrupted=0.3");
