--- a/src/net/admin/admin_server.cpp
+++ b/src/net/admin/admin_server.cpp
@@ -18,6 +18,7 @@
   error_code ignored;
   acceptor.open(address.protocol(), ec);
   acceptor.set_option(tcp::acceptor::reuse_address(true), ignored);
+  acceptor.set_option(asio::socket_base::enable_connection_aborted(true), ignored);
   if (!ec) {
     acceptor.bind(address, ec);
   }
--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -59,7 +59,11 @@
   acceptor_.assign(address.protocol(), listening_socket);
 }
 
+// Without the option Asio waits after an aborted connection until another one arrives, although
+// some may be in the queue.
 void ClientListener::start_accepting() {
+  error_code ignored;
+  acceptor_.set_option(asio::socket_base::enable_connection_aborted(true), ignored);
   is_accepting_ = true;
   context_.handing_over = false;
   accept();
@@ -86,8 +90,9 @@
 }
 
 void ClientListener::on_accepted(error_code ec, tcp::socket socket) {
-  if (ec == asio::error::operation_aborted) {
-    return accept();  // accepting was stopped, and may have been started again since then
+  // Accepting was stopped and may have been started again since then, or a client has left.
+  if (ec == asio::error::operation_aborted || ec == asio::error::connection_aborted) {
+    return accept();
   }
   if (ec) {  // most likely out of file descriptors; sessions that end free some
     timers_.after(kAcceptRetryDelay, [this] { accept(); });
--- a/tests/net/server/system_call_fault_test.cpp
+++ b/tests/net/server/system_call_fault_test.cpp
@@ -41,6 +41,14 @@
 
   Client client() { return {io, {asio::ip::address_v4::loopback(), port}}; }
 
+  // Whether the process listens. Its first attempts to do so may fail.
+  bool listens() {
+    tcp::socket probe(io);
+    error_code ec;
+    probe.connect({asio::ip::address_v4::loopback(), port}, ec);
+    return !ec;
+  }
+
   // Sends the text and returns the status of the response, or 0 if none arrives in time.
   int status_of(Client& client, const std::string& text) {
     const Micros sent_at = Clock().now();
@@ -96,6 +104,7 @@
 TEST_F(SystemCallFaults, AFailedAcceptDelaysNoOtherConnection) {
   constexpr int kClients = 20;
   start("seed=1 setup=0.3");
+  ASSERT_TRUE(run_until(io, [&] { return listens(); }));
   std::list<Client> clients;
   for (int i = 0; i < kClients; ++i) {
     clients.push_back(client());
