--- a/tests/support/audited_traffic.cpp
+++ b/tests/support/audited_traffic.cpp
@@ -105,11 +105,12 @@
 
 void AuditedClient::schedule(milliseconds delay, void (AuditedClient::*step)()) {
   timer_.expires_after(delay);
-  timer_.async_wait([this, step, self = shared_from_this()](error_code ec) {
-    if (!ec) {
-      (this->*step)();
-    }
-  });
+  timer_.async_wait(
+      [this, step, self = shared_from_this(), number = ++scheduled_steps_](error_code ec) {
+        if (!ec && number == scheduled_steps_) {
+          (this->*step)();
+        }
+      });
 }
 
 void AuditedClient::next_exchange() {
@@ -189,7 +190,7 @@
   if (is_kept && !pending_.empty()) {
     return read_response();
   }
-  timer_.cancel();
+  cancel_step();
   if (!is_kept) {
     on_disconnected();
     return;
@@ -249,8 +250,14 @@
   schedule(kRetryDelay, &AuditedClient::next_exchange);
 }
 
-void AuditedClient::disconnect() {
+// A step that is due already may be in the queue of the event loop.
+void AuditedClient::cancel_step() {
   timer_.cancel();
+  ++scheduled_steps_;
+}
+
+void AuditedClient::disconnect() {
+  cancel_step();
   time_check_.cancel();
   error_code ignored;
   if (socket_) {
--- a/tests/support/audited_traffic.hpp
+++ b/tests/support/audited_traffic.hpp
@@ -121,6 +121,7 @@
   void on_disconnected();
   void check_time();
   void leave();
+  void cancel_step();
   void disconnect();
   int draw(int limit) { return int(random_() % unsigned(limit)); }
 
@@ -129,7 +130,8 @@
   const GatewayState& gateway_;
   const Behavior behavior_;
   std::mt19937 random_;
-  asio::steady_timer timer_;
+  asio::steady_timer timer_;  // of the one step that is scheduled
+  int scheduled_steps_ = 0;
   asio::steady_timer time_check_;
   std::shared_ptr<tcp::socket> socket_;  // null: not connected
   boost::beast::flat_buffer buffer_;
