Survive an empty X-Expires-In in a request that is sent ahead

A client could end the process: the look-ahead passes the value of X-Expires-In to its parser, which read the last character of an empty text. The head's validator had excluded empty values before. The parser rejects them now.

--- a/src/net/client/request_validator.cpp
+++ b/src/net/client/request_validator.cpp
@@ -218,7 +218,7 @@
 
 Micros parse_expires_in(std::string_view text) {
   constexpr const char* kHeader = "X-Expires-In";
-  const char unit = text.back();
+  const char unit = text.empty() ? '\0' : text.back();
   if (unit != 'm' && unit != 'u') {
     throw HttpError(std::string("bad ") + kHeader);
   }
--- a/tests/net/client/pipelined_requests_test.cpp
+++ b/tests/net/client/pipelined_requests_test.cpp
@@ -43,6 +43,12 @@
   EXPECT_EQ(find_pipelined_requests(get_request("a") + invalid + get_request("b")).size(), 1U);
 }
 
+// Guards against a crash on a request that is sent ahead with an empty time.
+TEST(PipelinedRequests, TheSearchEndsAtAnEmptyTime) {
+  const std::string empty = "GET /x HTTP/1.1\r\nX-Expires-In:\r\n\r\n";
+  EXPECT_EQ(find_pipelined_requests(get_request("a") + empty + get_request("b")).size(), 1U);
+}
+
 TEST(PipelinedRequests, TheSearchHasALimit) {
   std::string input;
   while (input.size() < 2 * kMaxLookAheadBytes) {
