--- a/tests/net/client/client_session_test.cpp
+++ b/tests/net/client/client_session_test.cpp
@@ -143,6 +143,27 @@
   EXPECT_EQ(owner.closed(), std::vector<ClientId>{kClientId});
 }
 
+// Guards against a reset that discards what the client's system has not received yet: an earlier
+// response, which is complete, and the beginning of the aborted one.
+TEST_F(ConnectedClientSessionTest, AnAbortedResponseDiscardsNothingThatWasWritten) {
+  constexpr std::size_t kMoreThanTheClientReceivesAhead = 300'000;
+  const std::string first_body(kMoreThanTheClientReceivesAhead, 'a');
+  send(kValidRequest + kValidRequest);
+  ASSERT_TRUE(run_until([&] { return bodies.size() == 1; }));
+  session->respond({200, std::nullopt, first_body});
+  ASSERT_TRUE(run_until([&] { return bodies.size() == 2; }));
+  session->begin_response(std::nullopt, "beginning");
+  ASSERT_TRUE(run_until([&] { return !sent.empty(); }));
+  session->abort_response();
+  const Micros end = clock.now() + 50'000;
+  ASSERT_TRUE(run_until([&] { return clock.now() >= end; }));
+  const std::string received = receive();
+  EXPECT_NE(received.find(first_body), std::string::npos);
+  EXPECT_NE(received.find("beginning"), std::string::npos);
+  EXPECT_EQ(receive_error, boost::asio::error::connection_reset);
+  EXPECT_TRUE(disconnected.empty());
+}
+
 // Guards against a body piece that is delivered after the attempt that requested it has failed
 // (review/1).
 TEST_F(ConnectedClientSessionTest, KeepsABodyPieceWhoseRequestWasWithdrawn) {
--- a/tests/net/server/late_connection_test.cpp
+++ b/tests/net/server/late_connection_test.cpp
@@ -68,6 +68,19 @@
   EXPECT_LE(std::atoi(std::string(request["X-Expires-In"]).c_str()), 700'000);
 }
 
+// Guards against an attempt that begins after its client has left: the connection comes up, and the
+// client's close, which has arrived as well, is not read yet.
+TEST_F(LateConnections, NoAttemptBeginsAfterItsClientHasLeft) {
+  start();
+  Client client = test_bed.client();
+  client.send(post_request("t"));
+  ASSERT_TRUE(run_until_connecting());
+  client.socket.close();
+  const Micros end = Clock().now() + 200'000;
+  ASSERT_TRUE(test_bed.run_until([&] { return Clock().now() >= end; }));
+  EXPECT_EQ(server1.requests.size() + server2.requests.size(), 0U);
+}
+
 // Guards against an attempt that begins after its client has left, where attempts must not be
 // cancelled (REPORT-2.md of the review). The connection never comes up: the queue of the listening
 // socket is full.
--- a/tests/net/server/system_call_fault_test.cpp
+++ b/tests/net/server/system_call_fault_test.cpp
@@ -3,8 +3,10 @@
 #include <gtest/gtest.h>
 
 #include <list>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "support/fake_counter.hpp"
 #include "support/gateway_process.hpp"
@@ -58,6 +60,24 @@
     return response && in_time ? int(response->result_int()) : 0;
   }
 
+  struct Received {
+    std::string text;
+    error_code error;  // that ended the connection
+  };
+
+  // Returns what the client receives until its connection ends.
+  Received received_until_end(Client& client) {
+    Received received;
+    bool done = false;
+    asio::async_read(client.socket, asio::dynamic_buffer(received.text),
+                     [&](error_code ec, std::size_t) {
+                       received.error = ec;
+                       done = true;
+                     });
+    EXPECT_TRUE(run_until(io, [&] { return done; }));
+    return received;
+  }
+
   // Sends requests on several connections, which are kept between two requests.
   void expect_all_served() {
     constexpr int kConnections = 20;
@@ -157,6 +177,85 @@
   }
 }
 
+// Guards against a reset that discards the beginning of a response: without TCP_NODELAY the system
+// holds it back until the client has acknowledged the response before it (seed 95).
+TEST_F(SystemCallFaults, FailingOptionsDoNotDiscardABeginning) {
+  constexpr int kConnections = 20;
+  constexpr int kRoundsUntilAcknowledgementsAreDelayed = 20;
+  for (FakeServer& server : servers) {
+    server.on_request = [](PeerConnection& connection, const HttpRequest& request) {
+      if (request.method() == http::verb::get) {
+        return connection.write(http_response("200 OK", "", "complete"));
+      }
+      connection.write("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\nbeginning");
+      connection.reset();
+    };
+  }
+  start("seed=1 options=0.5");
+  for (int i = 0; i < kConnections; ++i) {
+    Client sending = client();
+    const std::string id = std::to_string(i);
+    for (int round = 0; round < kRoundsUntilAcknowledgementsAreDelayed; ++round) {
+      const std::string number = std::to_string(round) + "-" + id;
+      ASSERT_EQ(status_of(sending, get_request("c" + number)), 200);
+    }
+    sending.send(get_request("a" + id) + post_request("b" + id));
+    const std::string received = received_until_end(sending).text;
+    const std::size_t first_end = received.find("complete");
+    ASSERT_NE(first_end, std::string::npos) << i;
+    EXPECT_NE(received.find("HTTP/1.1 200", first_end), std::string::npos) << i;
+  }
+}
+
+// Guards against a response that was broken off and ends like a complete one, as the reset of its
+// connection was not set.
+TEST_F(SystemCallFaults, FailingOptionsDoNotMakeABrokenResponseLookComplete) {
+  constexpr int kConnections = 10;
+  constexpr Micros kTimeUntilItIsForwarded = 150'000;
+  std::shared_ptr<PeerConnection> responding;
+  for (FakeServer& server : servers) {
+    server.on_request = [&responding](PeerConnection& connection, const HttpRequest&) {
+      connection.write("HTTP/1.1 200 OK\r\n\r\n" + std::string(10'000, 'x'));
+      responding = connection.shared_from_this();
+    };
+  }
+  start("seed=1 options=0.5");
+  for (int i = 0; i < kConnections; ++i) {
+    Client waiting = client();
+    std::string request = get_request(prefixed_number("a", i));
+    waiting.send(request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0"));
+    ASSERT_TRUE(run_until(io, [&] { return responding != nullptr; }));
+    const Micros end = Clock().now() + kTimeUntilItIsForwarded;
+    ASSERT_TRUE(run_until(io, [&] { return Clock().now() >= end; }));
+    std::exchange(responding, nullptr)->reset();
+    const Received received = received_until_end(waiting);
+    EXPECT_EQ(received.error, asio::error::connection_reset) << i;
+  }
+}
+
+// Guards against sockets that are closed, or never looked at again, because epoll_ctl failed.
+TEST_F(SystemCallFaults, AShortageOfTheEventQueueLosesNoRequest) {
+  start("seed=1 epoll=0.1");
+  ASSERT_TRUE(run_until(io, [&] { return listens(); }));
+  expect_all_served();
+}
+
+// Guards against a write that is never continued because epoll_ctl failed as its wait began.
+TEST_F(SystemCallFaults, AShortageOfTheEventQueueLosesNoLongResponse) {
+  constexpr std::size_t kMoreThanTheSystemHolds = 1'000'000;
+  answer_with_body(kMoreThanTheSystemHolds);
+  start("seed=1 epoll=0.5");
+  ASSERT_TRUE(run_until(io, [&] { return listens(); }));
+  for (int i = 0; i < 3; ++i) {
+    Client reading = client();
+    const std::string request = get_request(prefixed_number("a", i), "Connection: close\r\n");
+    reading.send(request);
+    const Micros end = Clock().now() + 100'000;  // the client does not read at first
+    ASSERT_TRUE(run_until(io, [&] { return Clock().now() >= end; }));
+    EXPECT_GT(received_until_end(reading).text.size(), kMoreThanTheSystemHolds) << i;
+  }
+}
+
 // Guards against calls that stay partly unwritten while the counter is sound.
 TEST_F(SystemCallFaults, ShortWritesToTheCounterLoseNoCall) {
   constexpr int kRequests = 100;
--- a/tests/net/upstream/connection_reuse_test.cpp
+++ b/tests/net/upstream/connection_reuse_test.cpp
@@ -22,6 +22,77 @@
   EXPECT_TRUE(is_closed(0));
 }
 
+// Guards against a server whose second responses reach other requests again and again: bytes that
+// no request awaits show that its connections must not be reused.
+TEST_F(ConnectionReuseTest, ReusesNoConnectionToAServerThatHasRespondedTwice) {
+  make_pool();
+  ASSERT_EQ(run_attempt(1).outcome, Outcome::kOk);
+  server.peers[0]->write(http_response("200 OK", "", "again"));
+  ASSERT_TRUE(is_closed(0));
+  for (std::uint64_t number = 2; number <= 4; ++number) {
+    EXPECT_EQ(run_attempt(number).outcome, Outcome::kOk);
+    EXPECT_EQ(server.peers.size(), number);
+  }
+}
+
+// Guards against the same where the second response arrives with the first one.
+TEST_F(ConnectionReuseTest, ReusesNoConnectionToAServerThatHasRespondedTwiceAtOnce) {
+  make_pool();
+  ASSERT_EQ(run_attempt(1).outcome, Outcome::kOk);
+  server.on_request = [](PeerConnection& peer, const HttpRequest&) {
+    peer.write(http_response("200 OK", "", "x") + http_response("200 OK", "", "x"));
+  };
+  ASSERT_EQ(run_attempt(2).outcome, Outcome::kOk);
+  ASSERT_TRUE(is_closed(0));
+  respond_with(http_response("200 OK", "", "y"));
+  EXPECT_EQ(run_attempt(3).outcome, Outcome::kOk);
+  EXPECT_EQ(run_attempt(4).outcome, Outcome::kOk);
+  EXPECT_EQ(server.peers.size(), 3U);
+}
+
+// Guards against the distrust of a process that no longer exists.
+TEST_F(ConnectionReuseTest, ReusesConnectionsToAServerThatHasRestarted) {
+  make_pool();
+  ASSERT_EQ(run_attempt(1).outcome, Outcome::kOk);
+  server.peers[0]->write(http_response("200 OK", "", "again"));
+  ASSERT_TRUE(is_closed(0));
+  endpoint_list.endpoints[0].entry.started_at = clock.now();
+  pool().update(endpoint_list);
+  EXPECT_EQ(run_attempt(2).outcome, Outcome::kOk);
+  EXPECT_EQ(run_attempt(3).outcome, Outcome::kOk);
+  EXPECT_EQ(server.peers.size(), 2U);
+}
+
+// Guards against a connection that hands each request the response to the one before it: a second
+// response was taken for the response to request 2, whose own is late.
+TEST_F(ConnectionReuseTest, ASecondResponseReachesOneRequestAtMost) {
+  ConnectionPoolLimits limits;
+  limits.reuse_delay = 0;
+  make_pool(limits);
+  const auto response = [](int number) {
+    return http_response("200 OK", "", "response " + std::to_string(number));
+  };
+  server.on_request = [&](PeerConnection& peer, const HttpRequest&) {
+    switch (server.requests.size()) {
+      case 1:
+      case 2:
+        return peer.write(response(1));
+      case 3:
+        server.peers[0]->write(response(2));
+        return peer.write(response(3));
+      default:
+        return peer.write(response(4));
+    }
+  };
+  ASSERT_EQ(run_attempt(1).body, "response 1");
+  ASSERT_EQ(run_attempt(2).body, "response 1");  // cannot be told from its own
+  EXPECT_EQ(run_attempt(3).body, "response 3");
+  EXPECT_TRUE(is_closed(0));
+  EXPECT_EQ(run_attempt(4).body, "response 4");
+  EXPECT_EQ(run_attempt(5).body, "response 4");
+  EXPECT_EQ(server.peers.size(), 4U);  // no connection is reused any more
+}
+
 TEST_F(ConnectionReuseTest, ReusesAnIdleConnection) {
   make_pool();
   for (std::uint64_t number = 1; number <= 5; ++number) {
--- a/tests/support/system_call_faults/system_call_faults.cpp
+++ b/tests/support/system_call_faults/system_call_faults.cpp
@@ -27,7 +27,9 @@
   double interrupted = 0;    // send, recv, poll, accept and epoll_wait return EINTR
   double no_memory = 0;      // send returns ENOBUFS, recv ENOMEM
   double setup = 0;          // socket, connect, accept and setsockopt fail for a moment
+  double options = 0;        // setsockopt fails for a moment
   double query = 0;          // poll, getsockopt and shutdown fail for a moment
+  double epoll = 0;          // epoll_ctl does not add or change a socket
   double broken = 0;         // send and recv of connections to servers: ETIMEDOUT, EHOSTUNREACH
 };
 
@@ -60,7 +62,9 @@
     rates_.interrupted = value_of(text, "interrupted");
     rates_.no_memory = value_of(text, "no_memory");
     rates_.setup = value_of(text, "setup");
+    rates_.options = value_of(text, "options");
     rates_.query = value_of(text, "query");
+    rates_.epoll = value_of(text, "epoll");
     rates_.broken = value_of(text, "broken");
   }
 
@@ -88,10 +92,15 @@
   return next(fd, level, option, value, size);
 }
 
-bool is_tcp(int fd) {
-  int domain = 0;
+// Returns the domain of a socket, or AF_UNSPEC if the descriptor is no socket.
+int domain_of(int fd) {
+  int domain = AF_UNSPEC;
   socklen_t size = sizeof domain;
-  return real_getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &size) == 0 && domain == AF_INET;
+  return real_getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &size) == 0 ? domain : AF_UNSPEC;
+}
+
+bool is_tcp(int fd) {
+  return domain_of(fd) == AF_INET;
 }
 
 int fail_with(int error) {
@@ -213,6 +222,15 @@
                                                        : next(fd, events, count, timeout);
 }
 
+int epoll_ctl(int epoll_fd, int operation, int fd, epoll_event* event) noexcept {
+  static auto* const next = real<decltype(::epoll_ctl)>("epoll_ctl");
+  const bool may_fail = operation != EPOLL_CTL_DEL && domain_of(fd) != AF_UNSPEC;
+  if (may_fail && faults().occurs(faults().rates().epoll)) {
+    return fail_with(faults().one_of({ENOMEM, ENOSPC}));
+  }
+  return next(epoll_fd, operation, fd, event);
+}
+
 int accept(int fd, sockaddr* address, socklen_t* size) {
   static auto* const next = real<decltype(::accept)>("accept");
   if (faults().occurs(faults().rates().interrupted)) {
@@ -246,8 +264,8 @@
 
 int setsockopt(int fd, int level, int option, const void* value, socklen_t size) noexcept {
   static auto* const next = real<decltype(::setsockopt)>("setsockopt");
-  return setup_fails(fd, faults().rates().setup, {ENOBUFS}) ? -1
-                                                            : next(fd, level, option, value, size);
+  const double rate = std::max(faults().rates().setup, faults().rates().options);
+  return setup_fails(fd, rate, {ENOBUFS}) ? -1 : next(fd, level, option, value, size);
 }
 
 int getsockopt(int fd, int level, int option, void* value, socklen_t* size) noexcept {
