--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -106,7 +106,6 @@
 
 void ClientListener::start_session(tcp::socket socket) {
   error_code ignored;
-  socket.set_option(tcp::no_delay(true), ignored);
   socket.non_blocking(true, ignored);
   const ClientId client = ++last_client_;
   const auto session = std::make_shared<ClientSession>(context_, client, std::move(socket));
--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -64,7 +64,7 @@
   void send_body_piece(ClientId client, std::string piece);
   void finish_response(ClientId client);
   // Resets the connection during a streamed response, so that the client notices that the response
-  // is incomplete.
+  // is incomplete. The reset follows once the client's system has received what was written.
   void abort_response(ClientId client);
   // Requests the next piece of the request's body. on_body_piece is called with it later, never
   // from within this function.
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -9,10 +9,12 @@
 #include <utility>
 
 #include "net/client/health_check.hpp"
+#include "net/client/reset_after_delivery.hpp"
 #include "net/client/socket_status.hpp"
 #include "net/http/framing.hpp"
 #include "net/system_call/send_all.hpp"
 #include "net/system_call/socket_io.hpp"
+#include "net/system_call/socket_options.hpp"
 
 namespace quota_gateway::net {
 namespace {
@@ -225,6 +227,7 @@
 // error is left to the next read.
 void ClientSession::send_interim_response() {
   error_code ec;
+  no_delay_.ensure_set(socket_);
   output_.on_interim_sent(send_some(socket_, output_.interim_rest(), ec));
   const bool may_continue = !ec || ec == asio::error::would_block;
   if (output_.interim_rest().empty() || !may_continue) {
@@ -419,17 +422,26 @@
   write_output(&ClientSession::on_response_written);
 }
 
-// Resets the connection. After an orderly close, a body that is delimited by the end of the
-// connection would look complete.
+// A piece that is being written is written first.
 void ClientSession::abort_response() {
   if (!output_.is_streaming()) {
     return;
   }
   request_.reset();
   output_.abort_stream();
-  error_code ignored;
-  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-  close({CloseReason::kResponseAborted});
+  if (activity_.awaits_response_piece()) {
+    reset_aborted();
+  }
+}
+
+// After an orderly close, a body that is delimited by the end of the connection would look
+// complete.
+void ClientSession::reset_aborted() {
+  enter(SessionState::kAborting);
+  ConnectionToReset connection{socket_, [self = shared_from_this()] { return self->is_aborting(); },
+                               [this] { close({CloseReason::kResponseAborted}); }};
+  reset_after_delivery(std::move(connection), context_.timers, context_.clock,
+                       context_.clock.now() + kMaxDeliveryTime);
 }
 
 void ClientSession::write_piece() {
@@ -439,6 +451,7 @@
 
 void ClientSession::write_output(void (ClientSession::*on_written)()) {
   activity_.on_write_started();
+  no_delay_.ensure_set(socket_);
   send_all(
       socket_, output_.bytes(), [this] { return is_in(SessionState::kWriting); },
       [this, on_written, self = shared_from_this()](error_code ec, std::size_t /*sent*/) {
@@ -451,6 +464,9 @@
 }
 
 void ClientSession::on_piece_written() {
+  if (!output_.is_streaming()) {
+    return reset_aborted();
+  }
   activity_.on_piece_written();
   context_.callbacks.on_piece_sent(*request_);
 }
@@ -500,6 +516,9 @@
     return;
   }
   enter(SessionState::kClosed);
+  if (output_.is_incomplete()) {
+    set_reset_on_close(socket_);
+  }
   error_code ignored;
   socket_.close(ignored);
   if (request_) {
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -17,6 +17,7 @@
 #include "net/client/response_output.hpp"
 #include "net/client/session_activity.hpp"
 #include "net/client/session_close.hpp"
+#include "net/system_call/socket_options.hpp"
 #include "quota_gateway/time.hpp"
 
 namespace quota_gateway::net {
@@ -97,6 +98,8 @@
   void on_response_written();
   void await_next_request();
   void close_after_last_response();
+  bool is_aborting() const { return is_in(SessionState::kAborting); }
+  void reset_aborted();
 
   boost::asio::ip::tcp::socket& socket() override { return socket_; }
   void on_input_discarded() override;
@@ -107,6 +110,7 @@
   boost::asio::ip::tcp::socket socket_;
   RequestReader reader_;
   ResponseOutput output_;
+  NoDelayOption no_delay_;
   SessionActivity activity_;
   // The id that on_request returned for the current request, until its response is complete.
   std::optional<std::uint64_t> request_;
--- a/src/net/client/response_output.hpp
+++ b/src/net/client/response_output.hpp
@@ -21,6 +21,8 @@
   ConnectionUse connection_use() const { return connection_use_; }
   // Whether a streamed response has begun and has neither ended nor been aborted.
   bool is_streaming() const { return is_streaming_; }
+  // Whether a streamed response has begun and its end has not been set.
+  bool is_incomplete() const { return is_streaming_ || is_aborted_; }
 
   // Sets the interim response (1xx) that precedes the next response. Its bytes must stay valid.
   void set_interim(std::string_view bytes) { interim_rest_ = bytes; }
@@ -41,7 +43,10 @@
   // Sets the bytes to the end marker of the body, which is empty unless the body is chunked.
   void end_stream();
   // Ends the stream without the rest of the response.
-  void abort_stream() { is_streaming_ = false; }
+  void abort_stream() {
+    is_streaming_ = false;
+    is_aborted_ = true;
+  }
 
   // Drops the bytes and frees their memory. Must be called only after they have been written.
   void release_memory() { std::string().swap(bytes_); }
@@ -56,6 +61,7 @@
   BodyDelimiter delimiter_ = BodyDelimiter::kContentLength;  // of the streamed response
   ConnectionUse connection_use_ = ConnectionUse::kKeepAlive;
   bool is_streaming_ = false;
+  bool is_aborted_ = false;
 };
 
 }  // namespace quota_gateway::net
--- a/src/net/client/session_activity.hpp
+++ b/src/net/client/session_activity.hpp
@@ -15,6 +15,7 @@
   kAwaitingResponse,  // the gateway server is processing the request
   kWriting,           // the response is being written, or the server has yet to send its next piece
   kClosing,           // the last response has been written; further input is discarded
+  kAborting,          // an incomplete response was written; the connection is reset behind it
   kClosed,
 };
 
@@ -61,6 +62,8 @@
   SessionState state() const { return state_; }
   Micros state_since() const { return state_since_; }
   bool awaits_body_piece() const { return awaits_body_piece_; }
+  // Whether a streamed response goes on with the next piece, and no piece is being written.
+  bool awaits_response_piece() const { return awaits_response_piece_; }
   // Whether the session has had a request and waits for the next one.
   bool is_idle_between_requests() const {
     return state_ == SessionState::kIdle && has_had_request_;
--- a/src/net/counter/counter_client.cpp
+++ b/src/net/counter/counter_client.cpp
@@ -83,8 +83,7 @@
   if (ec) {
     return disconnect({Reason::kSocketError, ec});
   }
-  error_code ignored;
-  socket_.set_option(tcp::no_delay(true), ignored);
+  no_delay_.on_new_socket();
   state_ = State::kConnected;
   last_received_at_ = clock_.now();
   outage_log_.on_connected(last_received_at_);
@@ -173,6 +172,7 @@
   const auto is_current = [this, generation = connection_generation_] {
     return generation == connection_generation_;
   };
+  no_delay_.ensure_set(socket_);
   send_all(socket_, commands, is_current,
            [this, self = shared_from_this()](error_code ec, std::size_t sent) {
              calls_.on_written(sent);
--- a/src/net/counter/counter_client.hpp
+++ b/src/net/counter/counter_client.hpp
@@ -21,6 +21,7 @@
 #include "net/counter/counter_outage_log.hpp"
 #include "net/counter/counter_protocol.hpp"
 #include "net/event_loop/timers.hpp"
+#include "net/system_call/socket_options.hpp"
 #include "quota_gateway/gateway.hpp"
 
 namespace quota_gateway::net {
@@ -83,6 +84,7 @@
   ReplyHandler on_reply_;
 
   boost::asio::ip::tcp::socket socket_;
+  NoDelayOption no_delay_;  // of the current connection
   // The parser of the current connection.
   std::optional<CounterReplyParser> parser_;
   std::array<char, 4096> read_buffer_;
--- /dev/null
+++ b/src/net/system_call/socket_options.hpp
@@ -0,0 +1,27 @@
+// Options of connected TCP sockets whose failure must not last: the system may refuse to set an
+// option for a moment (ENOBUFS).
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace quota_gateway::net {
+
+// TCP_NODELAY of one socket. Without it the system holds back a small write until the peer has
+// acknowledged the one before, and a reset discards it.
+class NoDelayOption {
+ public:
+  // Sets the option if it is not set yet. Call it before each write: a later call makes up for one
+  // that failed.
+  void ensure_set(boost::asio::ip::tcp::socket& socket);
+  // The next call of ensure_set() is for another socket.
+  void on_new_socket() { is_set_ = false; }
+
+ private:
+  bool is_set_ = false;
+};
+
+// Makes the next close() reset the connection (SO_LINGER with a time of 0). Repeats a call that
+// fails, some times. Returns whether the option is set.
+bool set_reset_on_close(boost::asio::ip::tcp::socket& socket);
+
+}  // namespace quota_gateway::net
--- a/src/net/upstream/attempt_runner.cpp
+++ b/src/net/upstream/attempt_runner.cpp
@@ -179,6 +179,7 @@
 AttemptRunner::WriteResult AttemptRunner::write_output(const ConnectionPtr& connection) {
   error_code ec;
   const auto remaining = std::string_view(connection->output).substr(connection->output_written);
+  connection->no_delay.ensure_set(connection->socket);
   const std::size_t written = send_some(connection->socket, remaining, ec);
   connection->output_written += written;
   if (written > 0) {
--- a/src/net/upstream/connection_pool.cpp
+++ b/src/net/upstream/connection_pool.cpp
@@ -167,7 +167,6 @@
     return attempts_.fail(connection, Outcome::kNotSent);
   }
   error_code ignored;
-  connection->socket.set_option(tcp::no_delay(true), ignored);
   connection->socket.non_blocking(true, ignored);
   attempts_.start(connection);
 }
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -10,6 +10,7 @@
 
 #include "net/http/head_prefix.hpp"
 #include "net/system_call/interrupted_call.hpp"
+#include "net/system_call/socket_options.hpp"
 #include "net/upstream/response_classifier.hpp"
 
 namespace quota_gateway::net {
@@ -34,8 +35,7 @@
 }
 
 void UpstreamConnection::reset_on_close() {
-  error_code ignored;
-  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  set_reset_on_close(socket);
 }
 
 void UpstreamConnection::encode_request(const ForwardedRequest& request, Micros time_left) {
--- a/src/net/upstream/upstream_connection.hpp
+++ b/src/net/upstream/upstream_connection.hpp
@@ -15,6 +15,7 @@
 #include "net/http/forwarded_request.hpp"
 #include "net/http/framing.hpp"
 #include "net/http/receive_buffer.hpp"
+#include "net/system_call/socket_options.hpp"
 #include "net/upstream/attempt.hpp"
 
 namespace quota_gateway::net {
@@ -107,6 +108,7 @@
   // Start time of the server process for which the connection was opened.
   Micros server_started_at = 0;
   boost::asio::ip::tcp::socket socket;
+  NoDelayOption no_delay;
   AttemptKey attempt;
 
   // Request state.
