--- a/tests/net/server/lost_request_soak_test.cpp
+++ b/tests/net/server/lost_request_soak_test.cpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "support/audited_traffic.hpp"
@@ -49,6 +50,11 @@
   Signals signals = Signals::kNone;
   std::string system_call_faults;
   bool breaks_connections = false;
+  bool clients_leave = true;
+  milliseconds max_pause{20};  // of the clients
+  // A third of the servers send a part of their responses a second time, after this time at most.
+  double second_response_rate = 0;
+  milliseconds max_second_delay{0};
 };
 
 template <typename Value>
@@ -102,8 +108,12 @@
   return text;
 }
 
-class LostRequestSoak : public ::testing::TestWithParam<int> {
+// Gateway processes with audited clients and servers.
+class SoakFixture : public ::testing::Test {
  protected:
+  SoakFixture(SoakPlan drawn_plan, int drawn_seed)
+      : plan(std::move(drawn_plan)), seed(drawn_seed) {}
+
   struct Gateway {
     GatewayState state;
     std::optional<Process> process;
@@ -111,11 +121,17 @@
 
   void SetUp() override {
     for (int i = 0; i < kServers; ++i) {
-      servers.emplace_back(io, audit, plan.server_faults, unsigned(GetParam() * kServers + i));
+      ServerBehavior behavior{.number = i, .fault_rate = plan.server_faults};
+      if (i % 3 == 0) {
+        behavior.second_response_rate = plan.second_response_rate;
+        behavior.max_second_delay = plan.max_second_delay;
+      }
+      servers.emplace_back(io, audit, behavior, unsigned(seed * kServers + i));
     }
     publish_list();
     for (int i = 0; i < plan.gateways; ++i) {
       Gateway& gateway = gateways.emplace_back();
+      gateway.state.number = i;
       gateway.state.port = free_port(io);
       gateway.state.breaks_responses = plan.breaks_connections;
       start(gateway);
@@ -176,10 +192,11 @@
     for (int i = 0; i < plan.clients; ++i) {
       Gateway& gateway = *std::next(gateways.begin(), i % plan.gateways);
       const AuditedClient::Behavior behavior{.sends_several = plan.sends_several && i % 4 == 0,
-                                             .leaves = i % 5 == 0,
-                                             .max_timeout = plan.deadline};
+                                             .leaves = plan.clients_leave && i % 5 == 0,
+                                             .max_timeout = plan.deadline,
+                                             .max_pause = plan.max_pause};
       clients.push_back(std::make_shared<AuditedClient>(io, audit, gateway.state, behavior,
-                                                        unsigned(GetParam() * 1'000 + i)));
+                                                        unsigned(seed * 1'000 + i)));
       clients.back()->start();
     }
   }
@@ -235,7 +252,8 @@
     run_for(kStartTime);
   }
 
-  const SoakPlan plan = draw_plan(GetParam());
+  const SoakPlan plan;
+  const int seed;
   asio::io_context io;
   RequestAudit audit{io};
   FakeDiscovery discovery{io};
@@ -249,6 +267,11 @@
   int draining_server = -1;
 };
 
+class LostRequestSoak : public SoakFixture, public ::testing::WithParamInterface<int> {
+ protected:
+  LostRequestSoak() : SoakFixture(draw_plan(GetParam()), GetParam()) {}
+};
+
 TEST_P(LostRequestSoak, NoRequestIsLost) {
   SCOPED_TRACE(describe(plan));
   run_for(kStartTime);
@@ -273,6 +296,63 @@
   EXPECT_GT(audit.served(), 0);
 }
 
+// Servers that send responses a second time, up to a time that the parameter states.
+class SecondResponseSoak : public SoakFixture, public ::testing::WithParamInterface<int> {
+ protected:
+  SecondResponseSoak() : SoakFixture(plan_for(milliseconds(GetParam())), soak_seeds().first) {}
+
+  static SoakPlan plan_for(milliseconds max_delay) {
+    SoakPlan plan;
+    plan.clients = 80 / kSanitizerLoadDivisor;
+    plan.clients_leave = false;
+    plan.max_pause = milliseconds(200);
+    plan.second_response_rate = 0.3;
+    plan.max_second_delay = max_delay;
+    return plan;
+  }
+
+  void run() {
+    run_for(kStartTime);
+    add_clients();
+    run_for(kRunTime);
+    for (const auto& client : clients) {
+      client->stop();
+    }
+    run_for(plan.deadline + milliseconds(600));
+    std::cout << "second responses within " << GetParam() << " ms: served " << audit.served()
+              << ", lost " << audit.lost() << ", foreign from one server through one gateway "
+              << audit.most_foreign_responses() << ", connections to sound servers "
+              << connections(true) << ", to others " << connections(false) << '\n';
+  }
+
+  // The connections that were opened to the servers that are sound, or to the others.
+  std::size_t connections(bool to_sound) const {
+    std::size_t connections = 0;
+    for (const AuditedServer& server : servers) {
+      connections += server.is_sound() == to_sound ? server.connections() : 0;
+    }
+    return connections;
+  }
+};
+
+class BriefSecondResponseSoak : public SecondResponseSoak {};
+
+// Guards against responses that reach another request because they come some milliseconds late.
+TEST_P(BriefSecondResponseSoak, NoRequestGetsTheResponseToAnother) {
+  run();
+  EXPECT_EQ(audit.lost(), 0) << audit.failures();
+}
+
+// Guards against a server whose late responses reach other requests again and again, and against
+// connections that stay one response behind.
+TEST_P(SecondResponseSoak, AServerGivesOneResponseToAnotherRequestAtMost) {
+  run();
+  EXPECT_LE(audit.most_foreign_responses(), 1) << audit.failures();
+}
+
+INSTANTIATE_TEST_SUITE_P(Milliseconds, BriefSecondResponseSoak, ::testing::Values(9));
+INSTANTIATE_TEST_SUITE_P(Milliseconds, SecondResponseSoak, ::testing::Values(20, 200));
+
 INSTANTIATE_TEST_SUITE_P(Seeds, LostRequestSoak,
                          ::testing::Range(soak_seeds().first, soak_seeds().last + 1));
 
--- a/tests/support/audited_traffic.cpp
+++ b/tests/support/audited_traffic.cpp
@@ -47,9 +47,9 @@
 
 // ---- The audit
 
-std::string RequestAudit::add() {
+std::string RequestAudit::add(int gateway) {
   std::string id = "r" + std::to_string(requests_.size());
-  requests_.emplace(id, AuditedRequest{});
+  requests_.emplace(id, AuditedRequest{.gateway = gateway});
   return id;
 }
 
@@ -60,8 +60,9 @@
   return id + std::string(hash % 4 == 0 ? kLongBody : kShortBody, char('a' + hash % 26));
 }
 
-void RequestAudit::on_attempt(const std::string& id) {
+void RequestAudit::on_attempt(const std::string& id, int server) {
   AuditedRequest& request = requests_.at(id);
+  request.server = server;
   ++request.attempts;
   if (request.ended_at && since(*request.ended_at) > kMaxLateAttempt + lag()) {
     on_lost(id, "an attempt begins " + std::to_string(since(*request.ended_at).count()) +
@@ -76,10 +77,28 @@
     ++served_;
     if (body != body_of(id)) {
       on_lost(id, "wrong body: " + body.substr(0, 20));
+      on_foreign_response(requests_.at(id), body);
     }
   }
 }
 
+// A body begins with the id of its request, which ends before the first letter behind its number.
+void RequestAudit::on_foreign_response(const AuditedRequest& request, const std::string& body) {
+  const std::string id = body.substr(0, body.find_first_not_of("0123456789", 1));
+  const auto answered = requests_.find(id);
+  if (answered != requests_.end()) {
+    ++foreign_responses_[{answered->second.server, request.gateway}];
+  }
+}
+
+int RequestAudit::most_foreign_responses() const {
+  int most = 0;
+  for (const auto& [server_and_gateway, responses] : foreign_responses_) {
+    most = std::max(most, responses);
+  }
+  return most;
+}
+
 void RequestAudit::on_left(const std::string& id) {
   requests_.at(id).ended_at = Clock::now();
 }
@@ -141,7 +160,7 @@
 std::string AuditedClient::add_request() {
   constexpr int kMinTimeout = 150;  // ms
   const int timeout = kMinTimeout + draw(int(behavior_.max_timeout.count()) - kMinTimeout);
-  const std::string id = audit_.add();
+  const std::string id = audit_.add(gateway_.number);
   pending_.push_back({id, milliseconds(timeout), Clock::now() + milliseconds(timeout) + kMaxDelay});
   const std::string time = std::to_string(timeout) + "m";
   if (draw(2) == 0) {
@@ -195,8 +214,8 @@
     on_disconnected();
     return;
   }
-  constexpr int kMaxPause = 20;  // ms
-  schedule(milliseconds(draw(kMaxPause)), &AuditedClient::next_exchange);
+  const auto max_pause = int(behavior_.max_pause.count());
+  schedule(milliseconds(draw(max_pause)), &AuditedClient::next_exchange);
 }
 
 // Requests that cross the end of a used connection may not have been read; their client would send
@@ -268,9 +287,9 @@
 
 // ---- Servers
 
-AuditedServer::AuditedServer(asio::io_context& io, RequestAudit& audit, double fault_rate,
+AuditedServer::AuditedServer(asio::io_context& io, RequestAudit& audit, ServerBehavior behavior,
                              unsigned seed)
-    : io_(io), audit_(audit), fault_rate_(fault_rate), random_(seed), server_(io) {
+    : io_(io), audit_(audit), behavior_(behavior), random_(seed), server_(io) {
   server_.on_request = [this](PeerConnection& peer, const HttpRequest& request) {
     respond(peer, request);
   };
@@ -280,11 +299,13 @@
   constexpr int kMaxDelayMs = 60;
   enum Fault { kHang, kReset, kError, kOverloaded, kLate, kUntilClose, kFaults };
   const std::string id(request["X-Trace-Id"]);
-  audit_.on_attempt(id);
+  audit_.on_attempt(id, behavior_.number);
   const std::string body = RequestAudit::body_of(id);
   const milliseconds delay(int(random_() % kMaxDelayMs));
-  if (std::uniform_real_distribution<double>(0, 1)(random_) >= fault_rate_) {
-    return write_later(peer, http_response("200 OK", "", body), delay / 4, false);
+  if (!draw(behavior_.fault_rate)) {
+    const std::string text = http_response("200 OK", "", body);
+    write_later(peer, text, delay / 4, false);
+    return write_again(peer, text, delay / 4);
   }
   switch (Fault(random_() % kFaults)) {
     case kHang:
@@ -304,6 +325,15 @@
   }
 }
 
+// Sends the second response, if one is drawn, some time after the first.
+void AuditedServer::write_again(PeerConnection& peer, const std::string& text, milliseconds delay) {
+  if (behavior_.second_response_rate == 0 || !draw(behavior_.second_response_rate)) {
+    return;
+  }
+  const auto max_delay = unsigned(behavior_.max_second_delay.count());
+  write_later(peer, text, delay + milliseconds(random_() % (max_delay + 1)), false);
+}
+
 void AuditedServer::write_later(PeerConnection& peer, std::string text, milliseconds delay,
                                 bool closes) {
   const auto timer = std::make_shared<asio::steady_timer>(io_, delay);
--- a/tests/support/audited_traffic.hpp
+++ b/tests/support/audited_traffic.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 
 #include "support/fake_server.hpp"
 #include "support/peer_connection.hpp"
@@ -46,9 +47,10 @@
  public:
   explicit RequestAudit(asio::io_context& io) : lag_(io) {}
 
-  // Returns the id of a new request.
-  std::string add();
-  void on_attempt(const std::string& id);
+  // Returns the id of a new request, which a client sends to the gateway with that number.
+  std::string add(int gateway);
+  // An attempt has come whole to the server with that number.
+  void on_attempt(const std::string& id, int server);
   void on_response(const std::string& id, int status, const std::string& body);
   // The client has left, or its connection was ended by a kill.
   void on_left(const std::string& id);
@@ -60,6 +62,8 @@
   int answered() const { return answered_; }
   int served() const { return served_; }
   int lost() const { return lost_; }
+  // The largest number of responses of one server that one gateway has delivered to other requests.
+  int most_foreign_responses() const;
   // One line for each lost request.
   const std::string& failures() const { return failures_; }
   // The body of each response to a request.
@@ -67,12 +71,19 @@
 
  private:
   struct AuditedRequest {
+    int gateway = 0;
+    int server = 0;  // of the latest attempt
     int attempts = 0;
     std::optional<SteadyTime> ended_at;
   };
 
+  using ServerAndGateway = std::pair<int, int>;
+
+  void on_foreign_response(const AuditedRequest& request, const std::string& body);
+
   LoopLag lag_;
   std::map<std::string, AuditedRequest> requests_;
+  std::map<ServerAndGateway, int> foreign_responses_;
   int answered_ = 0;
   int served_ = 0;
   int lost_ = 0;
@@ -81,6 +92,7 @@
 
 // The gateway process that a client uses. It changes as the process is ended and started again.
 struct GatewayState {
+  int number = 0;
   std::uint16_t port = 0;
   int kills = 0;             // a connection that was open during a kill ends without a response
   bool is_accepting = true;  // whether clients open new connections
@@ -96,6 +108,7 @@
     bool sends_several = false;
     bool leaves = false;
     milliseconds max_timeout{2'000};
+    milliseconds max_pause{20};  // between a response and the next request
   };
   AuditedClient(asio::io_context& io, RequestAudit& audit, const GatewayState& gateway,
                 Behavior behavior, unsigned seed);
@@ -143,19 +156,33 @@
   bool is_stopped_ = false;
 };
 
+// How a server behaves.
+struct ServerBehavior {
+  int number = 0;
+  double fault_rate = 0;  // share of the requests that it does not answer as it should
+  // Share of its responses that it sends a second time, after at most `max_second_delay`.
+  double second_response_rate = 0;
+  milliseconds max_second_delay{0};
+};
+
 // A server that answers requests in the ways that its fault rate draws.
 class AuditedServer {
  public:
-  AuditedServer(asio::io_context& io, RequestAudit& audit, double fault_rate, unsigned seed);
+  AuditedServer(asio::io_context& io, RequestAudit& audit, ServerBehavior behavior, unsigned seed);
   const Listener& listener() const { return server_; }
+  // The number of connections that the gateways have opened.
+  std::size_t connections() const { return server_.peers.size(); }
+  bool is_sound() const { return behavior_.second_response_rate == 0; }
 
  private:
   void respond(PeerConnection& peer, const HttpRequest& request);
   void write_later(PeerConnection& peer, std::string text, milliseconds delay, bool closes);
+  void write_again(PeerConnection& peer, const std::string& text, milliseconds delay);
+  bool draw(double rate) { return std::uniform_real_distribution<double>(0, 1)(random_) < rate; }
 
   asio::io_context& io_;
   RequestAudit& audit_;
-  const double fault_rate_;
+  const ServerBehavior behavior_;
   std::mt19937 random_;
   FakeServer server_;
 };
