--- a/src/net/upstream/attempt_runner.cpp
+++ b/src/net/upstream/attempt_runner.cpp
@@ -39,6 +39,10 @@
     fail(connection, outcome);
   };
   events.on_broken = [this](const ConnectionPtr& connection) { on_broken(connection); };
+  events.on_unsolicited_bytes = [this](const ConnectionPtr& connection) {
+    complete_without_response(connection, Outcome::kConnectFailed,
+                              ConnectionCondition::kUnsolicitedBytes);
+  };
   events.on_idle_readable = [this](const ConnectionPtr& connection) {
     connection_events_.on_idle_readable(connection);
   };
@@ -153,6 +157,12 @@
   return entry != attempts_.end() && entry->second->state == State::kWriting;
 }
 
+void AttemptRunner::distrust(const std::string& server) {
+  for (const auto& [key, connection] : attempts_) {
+    connection->is_distrusted = connection->is_distrusted || connection->server == server;
+  }
+}
+
 AttemptRunner::Counts AttemptRunner::counts() const {
   Counts counts;
   for (const auto& [key, connection] : attempts_) {
--- a/src/net/upstream/attempt_runner.hpp
+++ b/src/net/upstream/attempt_runner.hpp
@@ -67,6 +67,9 @@
   bool has_connection(AttemptKey key) const { return attempts_.contains(key); }
   bool is_being_written(AttemptKey key) const;
   Counts counts() const;
+  // The server sends bytes that no request awaits: a response on a connection to it that repeats
+  // the one before it fails its attempt.
+  void distrust(const std::string& server);
 
  private:
   using ConnectionPtr = UpstreamConnectionPtr;
--- a/src/net/upstream/connection_pool.cpp
+++ b/src/net/upstream/connection_pool.cpp
@@ -1,5 +1,6 @@
 #include "net/upstream/connection_pool.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/system/error_code.hpp>
 #include <memory>
@@ -15,6 +16,10 @@
 // Time between two searches for connections that have been idle for too long.
 constexpr Micros kExpiryInterval = 500'000;  // us
 
+ServerProcess process_of(const UpstreamConnection& connection) {
+  return {connection.server, connection.server_started_at};
+}
+
 }  // namespace
 
 ConnectionPool::ConnectionPool(asio::io_context& io, Timers& timers, const Clock& clock,
@@ -35,7 +40,9 @@
   events.on_released = [this](const ConnectionPtr& connection, ConnectionCondition condition) {
     on_released(connection, condition);
   };
-  events.on_idle_readable = [this](const ConnectionPtr& connection) { close(*connection); };
+  events.on_idle_readable = [this](const ConnectionPtr& connection) {
+    on_idle_readable(connection);
+  };
   return events;
 }
 
@@ -121,7 +128,7 @@
       return connection;
     }
     // The server has closed the connection or may do so soon, or has sent bytes without a request.
-    close(*connection);
+    on_idle_readable(connection);
   }
 }
 
@@ -173,7 +180,11 @@
 
 void ConnectionPool::on_released(const ConnectionPtr& connection, ConnectionCondition condition) {
   update_idle_reuse(*connection, condition);
-  if (condition == ConnectionCondition::kReusable && is_listed(*connection)) {
+  if (condition == ConnectionCondition::kUnsolicitedBytes) {
+    on_unsolicited_bytes(*connection);
+  }
+  if (condition == ConnectionCondition::kReusable && is_listed(*connection) &&
+      reuse_policy_.may_reuse(process_of(*connection))) {
     keep_idle(connection);
   } else {
     close(*connection);
@@ -185,6 +196,7 @@
   switch (condition) {
     case ConnectionCondition::kReusable:
     case ConnectionCondition::kNotReusable:
+    case ConnectionCondition::kUnsolicitedBytes:
       return idle_reuse_.on_response(connection.idle_before_request);
     case ConnectionCondition::kBrokenBeforeResponse:
       return idle_reuse_.on_reset(connection.idle_before_request);
@@ -203,6 +215,41 @@
   connection->idle_since = clock_.now();
   connection->release_memory();
   idle_.add(connection);
+  if (limits_.max_observation > 0 && connection->repeats_response() &&
+      reuse_policy_.begin_observation(process_of(*connection))) {
+    observe(connection);
+  }
+}
+
+void ConnectionPool::observe(const ConnectionPtr& connection) {
+  connection->is_observed = true;
+  const Micros end = std::min(connection->times.deadline, clock_.now() + limits_.max_observation);
+  const std::weak_ptr<UpstreamConnection> weak = connection;
+  timers_.at(end, [this, weak] {
+    const ConnectionPtr connection = weak.lock();
+    if (connection && connection->is_observed) {
+      end_observation(*connection, connection->is_open_without_unread_data());
+    }
+  });
+}
+
+void ConnectionPool::end_observation(UpstreamConnection& connection, bool was_silent) {
+  connection.is_observed = false;
+  reuse_policy_.end_observation(process_of(connection), was_silent);
+}
+
+void ConnectionPool::on_idle_readable(const ConnectionPtr& connection) {
+  if (connection->has_unread_data()) {
+    on_unsolicited_bytes(*connection);
+  }
+  close(*connection);
+}
+
+// The next such bytes may be on their way on any connection to the server.
+void ConnectionPool::on_unsolicited_bytes(const UpstreamConnection& connection) {
+  reuse_policy_.on_unsolicited_bytes(process_of(connection));
+  attempts_.distrust(connection.server);
+  close_idle_to(connection.server);
 }
 
 bool ConnectionPool::close_oldest_idle() {
@@ -234,6 +281,9 @@
   if (connection.state == State::kIdle) {
     idle_.remove(connection);
   }
+  if (connection.is_observed) {
+    end_observation(connection, false);
+  }
   connection.state = State::kClosed;
   --open_connections_;
   error_code ignored;
--- a/src/net/upstream/connection_pool.hpp
+++ b/src/net/upstream/connection_pool.hpp
@@ -18,6 +18,7 @@
 #include "net/upstream/attempt.hpp"
 #include "net/upstream/attempt_handle.hpp"
 #include "net/upstream/attempt_runner.hpp"
+#include "net/upstream/connection_reuse_policy.hpp"
 #include "net/upstream/idle_connections.hpp"
 #include "net/upstream/idle_reuse_estimator.hpp"
 #include "net/upstream/upstream_connection.hpp"
@@ -35,7 +36,11 @@
   std::size_t max_connections = 400;
   // Time after a response during which the connection is not reused, because trailing bytes of the
   // response may still arrive.
-  Micros reuse_delay = 10'000;
+  Micros reuse_delay = 60'000;
+  // Maximum time for which a connection is observed before its reuse because a response on it may
+  // have been a second copy. Its own response comes within the client's deadline if at all. 0:
+  // connections are not observed.
+  Micros max_observation = 3'000'000;
   BufferLimits buffers;  // of each connection
 };
 
@@ -107,6 +112,12 @@
   void update_idle_reuse(const UpstreamConnection& connection, ConnectionCondition condition);
   bool is_listed(const UpstreamConnection& connection) const;
   void keep_idle(const ConnectionPtr& connection);
+  // Leaves the idle connection out of use for some time.
+  void observe(const ConnectionPtr& connection);
+  void end_observation(UpstreamConnection& connection, bool was_silent);
+  // An idle connection was closed by its server, or has bytes that no request awaits.
+  void on_idle_readable(const ConnectionPtr& connection);
+  void on_unsolicited_bytes(const UpstreamConnection& connection);
 
   // Closing connections.
   void close(UpstreamConnection& connection);
@@ -125,6 +136,7 @@
   // Number of connections that are connecting, in use or idle.
   std::size_t open_connections_ = 0;
   IdleReuseEstimator idle_reuse_;
+  ConnectionReusePolicy reuse_policy_;
   AttemptRunner attempts_;
 };
 
--- a/src/net/upstream/idle_connections.cpp
+++ b/src/net/upstream/idle_connections.cpp
@@ -36,10 +36,10 @@
     return nullptr;
   }
   const ServerConnections& connections = entry->second;
-  const auto found = std::find_if(connections.rbegin(), connections.rend(),
-                                  [&](const UpstreamConnectionPtr& connection) {
-                                    return connection->idle_since <= idle_cutoff;
-                                  });
+  const auto found = std::find_if(
+      connections.rbegin(), connections.rend(), [&](const UpstreamConnectionPtr& connection) {
+        return connection->idle_since <= idle_cutoff && !connection->is_observed;
+      });
   return found == connections.rend() ? nullptr : *found;
 }
 
--- a/src/net/upstream/idle_connections.hpp
+++ b/src/net/upstream/idle_connections.hpp
@@ -19,7 +19,7 @@
   void remove(const UpstreamConnection& connection);
 
   // Returns the most recently used connection to `server` among those that became idle at or before
-  // `idle_cutoff`, or null if there is none.
+  // `idle_cutoff` and are not observed, or null if there is none.
   UpstreamConnectionPtr most_recent(const std::string& server, Micros idle_cutoff) const;
   // Returns the connection that has been idle longest, or null if there is none.
   UpstreamConnectionPtr oldest() const;
--- a/src/net/upstream/response_reader.cpp
+++ b/src/net/upstream/response_reader.cpp
@@ -34,6 +34,20 @@
 constexpr double kMinBytesPerSecond = 1'000;
 constexpr double kMicrosPerSecond = 1e6;
 
+ConnectionCondition condition_after_response(const UpstreamConnection& connection) {
+  if (connection.has_trailing_bytes()) {
+    return ConnectionCondition::kUnsolicitedBytes;
+  }
+  return connection.is_reusable() ? ConnectionCondition::kReusable
+                                  : ConnectionCondition::kNotReusable;
+}
+
+// Whether the response is most likely a second copy of the one before it on the connection, and so
+// not the response to its request.
+bool is_likely_copy(const UpstreamConnection& connection) {
+  return connection.is_distrusted && connection.repeats_response();
+}
+
 bool is_streaming(const UpstreamConnection& connection) {
   return connection.delivery != UpstreamConnection::Delivery::kBuffered;
 }
@@ -157,7 +171,7 @@
   // Bytes that arrive before the request is completely written cannot be a valid response to it.
   // The exception is a request with more body pieces to come: the server may respond without them.
   if (connection->state == State::kWriting && !connection->body_incomplete) {
-    return response_events_.on_broken(connection);
+    return response_events_.on_unsolicited_bytes(connection);
   }
   const bool is_first_part = !connection->has_response_bytes();
   connection->last_progress_at = clock_.now();
@@ -293,7 +307,7 @@
     return on_early_response(connection);
   }
   receive_trailing_bytes(connection);
-  if (connection->may_be_truncated()) {
+  if (connection->may_be_truncated() || is_likely_copy(*connection)) {
     return response_events_.on_failed(connection, Outcome::kReset);
   }
   connection->response_complete = true;
@@ -313,9 +327,8 @@
 }
 
 void ResponseReader::complete(const ConnectionPtr& connection) const {
-  const auto condition = connection->is_reusable() ? ConnectionCondition::kReusable
-                                                   : ConnectionCondition::kNotReusable;
-  response_events_.on_complete(connection, connection->take_result(), condition);
+  response_events_.on_complete(connection, connection->take_result(),
+                               condition_after_response(*connection));
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/upstream/response_reader.hpp
+++ b/src/net/upstream/response_reader.hpp
@@ -27,8 +27,10 @@
   std::function<void(const UpstreamConnectionPtr&, AttemptResult, ConnectionCondition)> on_complete;
   // This connection can no longer deliver a usable response.
   std::function<void(const UpstreamConnectionPtr&, Outcome)> on_failed;
-  // The connection was closed or reset, or bytes arrived that cannot be a response.
+  // The connection was closed or reset.
   std::function<void(const UpstreamConnectionPtr&)> on_broken;
+  // Bytes arrived before the request was completely written, so they cannot be its response.
+  std::function<void(const UpstreamConnectionPtr&)> on_unsolicited_bytes;
   // The server has closed an idle connection, or has sent bytes on it without a request.
   std::function<void(const UpstreamConnectionPtr&)> on_idle_readable;
 };
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -25,13 +25,21 @@
 // have any length, nor the trailers behind the last chunk; both wait in `received` until complete.
 constexpr std::size_t kMaxUnparsedBytes = kMaxHeaderBytes;
 
+// Returns the result of receiving one byte without removing it, with errno set.
+ssize_t peek_byte(asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  return repeat_if_interrupted(
+      [&] { return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT); });
+}
+
 }  // namespace
 
 bool UpstreamConnection::is_open_without_unread_data() {
-  char byte = 0;
-  const auto size = repeat_if_interrupted(
-      [&] { return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT); });
-  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return peek_byte(socket) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+bool UpstreamConnection::has_unread_data() {
+  return peek_byte(socket) > 0;
 }
 
 void UpstreamConnection::reset_on_close() {
@@ -78,6 +86,9 @@
   interim_responses = 0;
   delivery = Delivery::kBuffered;
   response_complete = false;
+  if (!response_.is_empty()) {
+    previous_response_ = std::exchange(response_, {});
+  }
   expect_response();
 }
 
@@ -119,6 +130,7 @@
   if (ec && ec != http::error::need_more) {
     throw boost::system::system_error(ec);  // not HTTP, or too large
   }
+  response_.add(received.view().substr(0, parsed));
   received.consume(parsed);
   start_line_parsed = start_line_parsed || parsed > 0;
   if (parser->is_header_done() && !parser->eager()) {
--- a/src/net/upstream/upstream_connection.hpp
+++ b/src/net/upstream/upstream_connection.hpp
@@ -17,6 +17,7 @@
 #include "net/http/receive_buffer.hpp"
 #include "net/system_call/socket_options.hpp"
 #include "net/upstream/attempt.hpp"
+#include "net/upstream/response_fingerprint.hpp"
 
 namespace quota_gateway::net {
 
@@ -24,6 +25,7 @@
 enum class ConnectionCondition {
   kReusable,             // the response was complete; another request may follow
   kNotReusable,          // the response was complete, but no other request may follow
+  kUnsolicitedBytes,     // the server has sent bytes that no request awaits
   kBroken,               // the attempt ended early
   kBrokenBeforeResponse  // broke after the request was written, before any response byte
 };
@@ -52,6 +54,8 @@
 
   // Returns true if the server has not closed the connection and no received byte is unread.
   bool is_open_without_unread_data();
+  // Returns true if received bytes are unread.
+  bool has_unread_data();
 
   // Makes the next close() reset the connection. Data that is still in transit is discarded, so the
   // server cannot take it for a request, and no response is awaited.
@@ -94,6 +98,12 @@
   // Returns whether the complete response leaves the connection open for another request.
   bool is_reusable() const;
 
+  // Returns whether the response is followed by bytes that no request awaits.
+  bool has_trailing_bytes() const { return !received.empty(); }
+
+  // Returns whether the complete response has the same bytes as the one before it.
+  bool repeats_response() const { return previous_response_ == response_; }
+
   // Returns whether any byte of the current response was received.
   bool has_response_bytes() const;
 
@@ -146,6 +156,10 @@
   Micros idle_since = 0;
   // Idle time before the current request, in microseconds; 0 for the connection's first request.
   Micros idle_before_request = 0;
+  // Whether an idle connection is out of use, see ConnectionReusePolicy.
+  bool is_observed = false;
+  // Whether the server is known to send bytes that no request awaits.
+  bool is_distrusted = false;
 
  private:
   // Parses some of the received bytes. Returns false if more are needed.
@@ -156,6 +170,8 @@
   // What the head of the final response says. The parsed fields themselves are not kept: short
   // fields take many times the memory of their text, and the body may go on for long.
   std::optional<AttemptResult> head_result_;
+  ResponseFingerprint response_;  // of the response that is being received
+  std::optional<ResponseFingerprint> previous_response_;
 };
 
 using UpstreamConnectionPtr = std::shared_ptr<UpstreamConnection>;
--- a/tests/net/server/lost_request_soak_test.cpp
+++ b/tests/net/server/lost_request_soak_test.cpp
@@ -321,17 +321,19 @@
     run_for(plan.deadline + milliseconds(600));
     std::cout << "second responses within " << GetParam() << " ms: served " << audit.served()
               << ", lost " << audit.lost() << ", foreign from one server through one gateway "
-              << audit.most_foreign_responses() << ", connections to sound servers "
-              << connections(true) << ", to others " << connections(false) << '\n';
+              << audit.most_foreign_responses() << "; sound servers: " << traffic_of(true)
+              << "; others: " << traffic_of(false) << '\n';
   }
 
-  // The connections that were opened to the servers that are sound, or to the others.
-  std::size_t connections(bool to_sound) const {
+  // The connections and attempts of the servers that are sound, or of the others.
+  std::string traffic_of(bool is_sound) const {
     std::size_t connections = 0;
+    std::size_t attempts = 0;
     for (const AuditedServer& server : servers) {
-      connections += server.is_sound() == to_sound ? server.connections() : 0;
+      connections += server.is_sound() == is_sound ? server.connections() : 0;
+      attempts += server.is_sound() == is_sound ? server.requests() : 0;
     }
-    return connections;
+    return std::to_string(connections) + " connections, " + std::to_string(attempts) + " attempts";
   }
 };
 
--- a/tests/net/upstream/connection_pool_fixture.cpp
+++ b/tests/net/upstream/connection_pool_fixture.cpp
@@ -14,6 +14,7 @@
 ConnectionPoolLimits ConnectionPoolFixture::immediate_reuse() {
   ConnectionPoolLimits limits;
   limits.reuse_delay = 0;
+  limits.max_observation = 0;
   return limits;
 }
 
--- a/tests/support/audited_traffic.hpp
+++ b/tests/support/audited_traffic.hpp
@@ -172,6 +172,7 @@
   const Listener& listener() const { return server_; }
   // The number of connections that the gateways have opened.
   std::size_t connections() const { return server_.peers.size(); }
+  std::size_t requests() const { return server_.requests.size(); }
   bool is_sound() const { return behavior_.second_response_rate == 0; }
 
  private:
