--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -157,6 +157,11 @@
   timers_.after(kTimeoutCheckInterval, [this] { enforce_timeouts(); });
 }
 
+bool ClientListener::check_connected(ClientId client) {
+  const auto session = sessions_.find(client);
+  return session && session->check_connected();
+}
+
 // ---- Responses
 
 void ClientListener::respond(ClientId client, const ClientResponse& response) {
--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -52,6 +52,10 @@
   // that process.
   void hand_over_new_clients();
 
+  // Whether the client is connected and has not closed its side, which its session may not have
+  // noticed yet. If it has left, the event loop closes its session next.
+  bool check_connected(ClientId client);
+
   // The following functions have no effect if the client has disconnected.
 
   // Sends the complete response to the client's pending request.
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -505,6 +505,18 @@
   close({CloseReason::kFinished});
 }
 
+bool ClientSession::check_connected() {
+  if (is_in(SessionState::kClosed)) {
+    return false;
+  }
+  if (!has_peer_closed(socket_)) {
+    return true;
+  }
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->close({CloseReason::kClientLeft}); });
+  return false;
+}
+
 void ClientSession::close_if_idle() {
   if (is_idle_between_requests() && !has_unread_input(socket_)) {
     close({CloseReason::kIdle});
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -42,6 +42,9 @@
   void request_body_piece();
   void withdraw_body_piece_request();
 
+  // See ClientListener.
+  bool check_connected();
+
   // Closes the session if it is idle between requests and its socket has no unread input.
   void close_if_idle();
   void close(const SessionClose& cause);
--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -74,8 +74,8 @@
       deadlines_(loop_, {settings_, requests_, clients_, events_, finisher_, reporter_},
                  expiry_callback()),
       streamer_(clock_, {requests_, pool_, clients_, events_, finisher_, reporter_, deadlines_}),
-      dispatcher_(loop_, {settings_, requests_, pool_, events_, stats_, finisher_, reporter_,
-                          deadlines_, streamer_, endpoint_lists_}),
+      dispatcher_(loop_, {settings_, requests_, pool_, clients_, events_, stats_, finisher_,
+                          reporter_, deadlines_, streamer_, endpoint_lists_}),
       endpoint_lists_(loop_, pool_, events_, std::move(config.persisted_endpoints),
                       endpoint_list_callbacks()),
       pool_(io, timers_, clock_, pool_limits(config), attempt_events()),
@@ -106,6 +106,7 @@
 
 AttemptEvents GatewayServer::attempt_events() {
   AttemptEvents events;
+  events.may_begin = [this](AttemptKey key) { return dispatcher_.may_begin_attempt(key); };
   events.on_complete = [this](AttemptKey key, AttemptResult result) {
     dispatcher_.on_attempt_complete(key, std::move(result));
   };
--- a/src/net/server/request_dispatcher.cpp
+++ b/src/net/server/request_dispatcher.cpp
@@ -29,6 +29,7 @@
       settings_(collaborators.settings),
       requests_(collaborators.requests),
       pool_(collaborators.pool),
+      clients_(collaborators.clients),
       events_(collaborators.events),
       stats_(collaborators.stats),
       finisher_(collaborators.finisher),
@@ -142,6 +143,12 @@
   reporter_.report_complete(entry, key, result);
 }
 
+bool RequestDispatcher::may_begin_attempt(AttemptKey key) {
+  const auto entry = requests_.find(key.request);
+  return entry != requests_.end() && !entry->second.finished &&
+         clients_.check_connected(entry->second.client);
+}
+
 void RequestDispatcher::on_attempt_written(AttemptKey key) {
   stats_.on_attempt_written();
   const auto entry = requests_.find(key.request);
--- a/src/net/server/request_dispatcher.hpp
+++ b/src/net/server/request_dispatcher.hpp
@@ -32,6 +32,7 @@
     const Settings& settings;
     RequestTable& requests;
     ConnectionPool& pool;
+    ClientListener& clients;
     EventBatcher& events;
     GatewayStats& stats;
     RequestFinisher& finisher;
@@ -52,6 +53,10 @@
   // ---- From the server connections and the deadlines
   // The attempt, or its long response, has ended.
   void on_attempt_complete(AttemptKey key, AttemptResult result);
+  // Whether the attempt may begin: its request is open and its client is connected. Asked right
+  // before the first byte of each attempt, since the client may have left while the request was
+  // held or the connection came up, and the event loop may not have reported that yet.
+  bool may_begin_attempt(AttemptKey key);
   // The last byte of the attempt's request has been written.
   void on_attempt_written(AttemptKey key);
 
@@ -80,6 +85,7 @@
   const Settings& settings_;
   RequestTable& requests_;
   ConnectionPool& pool_;
+  ClientListener& clients_;
   EventBatcher& events_;
   GatewayStats& stats_;
   RequestFinisher& finisher_;
--- a/src/net/upstream/attempt.hpp
+++ b/src/net/upstream/attempt.hpp
@@ -52,9 +52,12 @@
   std::optional<int> quota_usage_percent;
 };
 
-// Callbacks that report the progress of attempts. Only `on_request_written` may be called from
-// within a call to ConnectionPool; all others are called from the event loop.
+// Callbacks that report the progress of attempts. Only `may_begin` and `on_request_written` may be
+// called from within a call to ConnectionPool; all others are called from the event loop.
 struct AttemptEvents {
+  // Whether the attempt may begin, asked right before its first byte is written. If not, it ends
+  // with kNotSent.
+  std::function<bool(AttemptKey)> may_begin = [](AttemptKey) { return true; };
   // The attempt has ended. No further event for it follows.
   std::function<void(AttemptKey, AttemptResult)> on_complete;
   // The last byte of the request was written to the socket.
--- a/src/net/upstream/attempt_runner.cpp
+++ b/src/net/upstream/attempt_runner.cpp
@@ -86,7 +86,7 @@
 }
 
 void AttemptRunner::start(const ConnectionPtr& connection) {
-  if (!may_start(*connection)) {
+  if (!may_start(*connection) || !attempt_events_.may_begin(connection->attempt)) {
     return fail_unwritten(connection, Outcome::kNotSent);
   }
   connection->encode_request(*connection->request, connection->times.deadline - clock_.now());
--- a/src/net/upstream/attempt_runner.hpp
+++ b/src/net/upstream/attempt_runner.hpp
@@ -51,7 +51,7 @@
   void assign(AttemptKey key, const UpstreamConnectionPtr& connection,
               const ForwardedRequest& request, AttemptTimes times);
   // Starts the assigned attempt. The connection must be established. An attempt that may no longer
-  // be written ends with kNotSent.
+  // be written, or whose request no longer wants it, ends with kNotSent.
   void start(const UpstreamConnectionPtr& connection);
   // Ends the assigned attempt with `outcome` and without a response.
   void fail(const UpstreamConnectionPtr& connection, Outcome outcome);
--- a/tests/net/upstream/connection_pool_fixture.cpp
+++ b/tests/net/upstream/connection_pool_fixture.cpp
@@ -20,6 +20,7 @@
 
 void ConnectionPoolFixture::make_pool(ConnectionPoolLimits limits) {
   AttemptEvents events;
+  events.may_begin = [this](AttemptKey) { return attempts_may_begin; };
   events.on_complete = [this](AttemptKey key, AttemptResult result) {
     results.emplace_back(key, std::move(result));
   };
--- a/tests/net/upstream/connection_pool_fixture.hpp
+++ b/tests/net/upstream/connection_pool_fixture.hpp
@@ -53,6 +53,8 @@
   EndpointList endpoint_list;
   // The request that each attempt sends.
   ForwardedRequest request;
+  // What AttemptEvents::may_begin returns.
+  bool attempts_may_begin = true;
   // The results of all attempts, in the order in which they ended.
   std::vector<std::pair<AttemptKey, AttemptResult>> results;
   // The current pool is the last. Earlier pools stay alive because their handlers may still run.
--- a/tests/net/upstream/connection_reuse_test.cpp
+++ b/tests/net/upstream/connection_reuse_test.cpp
@@ -134,6 +134,19 @@
   EXPECT_EQ(run_attempt(4).outcome, Outcome::kOk);
 }
 
+// Guards against an attempt that begins after its client has left, on an idle connection and on a
+// new one.
+TEST_F(ConnectionReuseTest, AnAttemptThatMayNotBeginIsNotSent) {
+  make_pool();
+  ASSERT_EQ(run_attempt(1).outcome, Outcome::kOk);
+  attempts_may_begin = false;
+  EXPECT_EQ(run_attempt(2).outcome, Outcome::kNotSent);
+  EXPECT_EQ(run_attempt(3).outcome, Outcome::kNotSent);
+  attempts_may_begin = true;
+  EXPECT_EQ(run_attempt(4).outcome, Outcome::kOk);
+  EXPECT_EQ(server.requests.size(), 2U);
+}
+
 TEST_F(ConnectionReuseTest, HonorsConnectionClose) {
   respond_with(http_response("200 OK", "Connection: close\r\n", "x"));
   make_pool();
