--- a/src/net/admin/admin_server.cpp
+++ b/src/net/admin/admin_server.cpp
@@ -10,7 +10,6 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr Micros kAcceptRetryDelay = 20'000;
 constexpr Micros kListenRetryDelay = 500'000;
 
 error_code listen_at(tcp::acceptor& acceptor, const tcp::endpoint& address) {
@@ -18,7 +17,6 @@
   error_code ignored;
   acceptor.open(address.protocol(), ec);
   acceptor.set_option(tcp::acceptor::reuse_address(true), ignored);
-  acceptor.set_option(asio::socket_base::enable_connection_aborted(true), ignored);
   if (!ec) {
     acceptor.bind(address, ec);
   }
@@ -35,7 +33,11 @@
     : timers_(timers),
       configured_address_(std::move(address)),
       handlers_(std::move(handlers)),
-      acceptor_(io) {
+      acceptor_(io),
+      accepted_(io, acceptor_, [this](tcp::socket socket) {
+        add_connection(std::move(socket));
+        accepted_.accept_next();
+      }) {
   listen();
 }
 
@@ -44,7 +46,7 @@
 void AdminServer::listen() {
   const error_code ec = listen_at(acceptor_, configured_address_);
   if (!ec) {
-    return accept();
+    return accepted_.accept_next();
   }
   std::cerr << "admin: " << ec.message() << "; trying again\n";
   error_code ignored;
@@ -52,19 +54,6 @@
   timers_.after(kListenRetryDelay, [this] { listen(); });
 }
 
-void AdminServer::accept() {
-  acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
-    if (!acceptor_.is_open()) {
-      return;
-    }
-    if (ec) {
-      return timers_.after(kAcceptRetryDelay, [this] { accept(); });
-    }
-    add_connection(std::move(socket));
-    accept();
-  });
-}
-
 void AdminServer::add_connection(tcp::socket socket) {
   if (connections_.size() >= kMaxAdminConnections) {
     // A copy of the pointer, since close() removes the connection from the list.
--- a/src/net/admin/admin_server.hpp
+++ b/src/net/admin/admin_server.hpp
@@ -11,6 +11,7 @@
 
 #include "net/admin/admin_connection.hpp"
 #include "net/event_loop/timers.hpp"
+#include "net/system_call/connection_acceptor.hpp"
 
 namespace quota_gateway::net {
 
@@ -33,7 +34,6 @@
 
  private:
   void listen();
-  void accept();
   void add_connection(boost::asio::ip::tcp::socket socket);
   void remove_connection(const AdminConnection& closed);
 
@@ -41,6 +41,7 @@
   const boost::asio::ip::tcp::endpoint configured_address_;
   const AdminHandlers handlers_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  ConnectionAcceptor accepted_;
   std::list<std::shared_ptr<AdminConnection>> connections_;  // oldest first
 };
 
--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -4,9 +4,11 @@
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/socket_base.hpp>
+#include <boost/system/system_error.hpp>
 #include <utility>
 
 #include "net/client/socket_status.hpp"
+#include "net/system_call/register_descriptor.hpp"
 
 namespace quota_gateway::net {
 namespace {
@@ -18,7 +20,6 @@
 // The maximum number of clients divided by this may be idle between requests.
 constexpr std::size_t kIdleSessionsDivisor = 3;
 constexpr Micros kTimeoutCheckInterval = 250'000;  // us
-constexpr Micros kAcceptRetryDelay = 20'000;       // us
 
 }  // namespace
 
@@ -28,7 +29,8 @@
     : timers_(timers),
       max_clients_(limits.max_clients),
       context_{*this, timers, clock, settings, memory, std::move(callbacks), limits.buffers},
-      acceptor_(io) {
+      acceptor_(io),
+      connections_(io, acceptor_, [this](tcp::socket socket) { on_accepted(std::move(socket)); }) {
   enforce_timeouts();
 }
 
@@ -56,14 +58,14 @@
 }
 
 void ClientListener::adopt(const tcp::endpoint& address, int listening_socket) {
-  acceptor_.assign(address.protocol(), listening_socket);
+  const error_code failed = register_descriptor(
+      [&](error_code& ec) { acceptor_.assign(address.protocol(), listening_socket, ec); });
+  if (failed) {
+    throw boost::system::system_error(failed);
+  }
 }
 
-// Without the option Asio waits after an aborted connection until another one arrives, although
-// some may be in the queue.
 void ClientListener::start_accepting() {
-  error_code ignored;
-  acceptor_.set_option(asio::socket_base::enable_connection_aborted(true), ignored);
   is_accepting_ = true;
   context_.handing_over = false;
   accept();
@@ -74,30 +76,16 @@
 void ClientListener::hand_over_new_clients() {
   is_accepting_ = false;
   context_.handing_over = true;
-  error_code ignored;
-  acceptor_.cancel(ignored);
+  connections_.stop();
 }
 
 void ClientListener::accept() {
-  if (accept_pending_ || !is_accepting_) {
-    return;
+  if (is_accepting_) {
+    connections_.accept_next();
   }
-  accept_pending_ = true;
-  acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
-    accept_pending_ = false;
-    on_accepted(ec, std::move(socket));
-  });
 }
 
-void ClientListener::on_accepted(error_code ec, tcp::socket socket) {
-  // Accepting was stopped and may have been started again since then, or a client has left.
-  if (ec == asio::error::operation_aborted || ec == asio::error::connection_aborted) {
-    return accept();
-  }
-  if (ec) {  // most likely out of file descriptors; sessions that end free some
-    timers_.after(kAcceptRetryDelay, [this] { accept(); });
-    return;
-  }
+void ClientListener::on_accepted(tcp::socket socket) {
   start_session(std::move(socket));
   if (evict_if_over_limit()) {
     accept();  // else on_session_closed() continues to accept
@@ -105,8 +93,6 @@
 }
 
 void ClientListener::start_session(tcp::socket socket) {
-  error_code ignored;
-  socket.non_blocking(true, ignored);
   const ClientId client = ++last_client_;
   const auto session = std::make_shared<ClientSession>(context_, client, std::move(socket));
   sessions_.add(client, session);
@@ -220,6 +206,9 @@
   if (!context_.handing_over && has_pending_connection(acceptor_)) {
     return false;
   }
+  if (connections_.has_pending_connection()) {
+    return false;
+  }
   return !sessions_.has_unfinished_work(context_.clock.now());
 }
 
--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -16,6 +16,7 @@
 #include "net/client/client_session_context.hpp"
 #include "net/client/session_table.hpp"
 #include "net/event_loop/timers.hpp"
+#include "net/system_call/connection_acceptor.hpp"
 #include "quota_gateway/settings.hpp"
 #include "quota_gateway/time.hpp"
 
@@ -91,7 +92,7 @@
   std::size_t allocated_input_bytes() const override;
 
   void accept();
-  void on_accepted(boost::system::error_code ec, boost::asio::ip::tcp::socket socket);
+  void on_accepted(boost::asio::ip::tcp::socket socket);
   void start_session(boost::asio::ip::tcp::socket socket);
   bool evict_if_over_limit();
   void enforce_timeouts();
@@ -100,10 +101,10 @@
   const std::size_t max_clients_;
   ClientSessionContext context_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  ConnectionAcceptor connections_;
   SessionTable sessions_;
   ClientId last_client_ = 0;
   bool is_accepting_ = false;
-  bool accept_pending_ = false;
 };
 
 }  // namespace quota_gateway::net
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -15,6 +15,7 @@
 #include "net/system_call/send_all.hpp"
 #include "net/system_call/socket_io.hpp"
 #include "net/system_call/socket_options.hpp"
+#include "net/system_call/socket_wait.hpp"
 
 namespace quota_gateway::net {
 namespace {
@@ -68,8 +69,7 @@
   if (is_in(SessionState::kClosing)) {
     return discard_input_until_closed(shared_from_this(), context_);
   }
-  socket_.async_wait(tcp::socket::wait_read,
-                     [this, self = shared_from_this()](error_code ec) { on_readable(ec); });
+  wait_readable(socket_, [this, self = shared_from_this()](error_code ec) { on_readable(ec); });
 }
 
 bool ClientSession::exceeds_read_ahead_limit() const {
@@ -233,12 +233,11 @@
   if (output_.interim_rest().empty() || !may_continue) {
     return;
   }
-  socket_.async_wait(tcp::socket::wait_write,
-                     [this, self = shared_from_this()](error_code wait_error) {
-                       if (!wait_error && !output_.interim_rest().empty()) {
-                         send_interim_response();
-                       }
-                     });
+  wait_writable(socket_, [this, self = shared_from_this()](error_code wait_error) {
+    if (!wait_error && !output_.interim_rest().empty()) {
+      send_interim_response();
+    }
+  });
 }
 
 void ClientSession::take_message() {
--- a/src/net/client/lingering_close.cpp
+++ b/src/net/client/lingering_close.cpp
@@ -8,6 +8,7 @@
 
 #include "net/system_call/interrupted_call.hpp"
 #include "net/system_call/socket_io.hpp"
+#include "net/system_call/socket_wait.hpp"
 
 namespace quota_gateway::net {
 namespace {
@@ -69,10 +70,9 @@
 void discard_input_until_closed(std::shared_ptr<LingeringConnection> connection,
                                 ClientSessionContext& context) {
   tcp::socket& socket = connection->socket();
-  socket.async_wait(tcp::socket::wait_read,
-                    [connection = std::move(connection), &context](error_code ec) mutable {
-                      on_readable(ec, std::move(connection), context);
-                    });
+  wait_readable(socket, [connection = std::move(connection), &context](error_code ec) mutable {
+    on_readable(ec, std::move(connection), context);
+  });
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/client/socket_status.cpp
+++ b/src/net/client/socket_status.cpp
@@ -11,13 +11,13 @@
 #include <vector>
 
 #include "net/system_call/interrupted_call.hpp"
+#include "net/system_call/poll_socket.hpp"
 
 namespace quota_gateway::net {
 namespace {
 
 bool polls_ready(int socket, short events) {
-  pollfd query{socket, events, 0};
-  return repeat_if_interrupted([&] { return ::poll(&query, 1, 0); }) > 0;
+  return has_socket_event(socket, events).value_or(false);
 }
 
 }  // namespace
--- a/src/net/counter/counter_client.cpp
+++ b/src/net/counter/counter_client.cpp
@@ -9,6 +9,7 @@
 
 #include "net/counter/counter_liveness.hpp"
 #include "net/system_call/send_all.hpp"
+#include "net/system_call/socket_wait.hpp"
 
 namespace quota_gateway::net {
 namespace {
@@ -67,7 +68,7 @@
   last_received_at_ = clock_.now();
   parser_.emplace();
   socket_ = tcp::socket(io_);
-  socket_.async_connect(address_, [this, self = shared_from_this(), generation](error_code ec) {
+  connect_socket(socket_, address_, [this, self = shared_from_this(), generation](error_code ec) {
     if (generation == connection_generation_) {
       on_connected(ec);
     }
--- a/src/net/discovery/discovery_client.cpp
+++ b/src/net/discovery/discovery_client.cpp
@@ -7,6 +7,7 @@
 
 #include "net/discovery/json_scanner.hpp"
 #include "net/system_call/send_all.hpp"
+#include "net/system_call/socket_wait.hpp"
 
 namespace quota_gateway::net {
 namespace {
@@ -80,7 +81,7 @@
     return;
   }
   receive_limit_.apply(socket_, intake_.read_scope(now));
-  socket_.async_connect(agent_, [this, generation](error_code ec) {
+  connect_socket(socket_, agent_, [this, generation](error_code ec) {
     if (generation != connection_generation_) {
       return;
     }
--- a/src/net/hot_restart/hot_restart.cpp
+++ b/src/net/hot_restart/hot_restart.cpp
@@ -5,6 +5,9 @@
 #include <string_view>
 #include <utility>
 
+#include "net/system_call/register_descriptor.hpp"
+#include "net/system_call/socket_wait.hpp"
+
 namespace quota_gateway::net {
 namespace {
 
@@ -49,6 +52,19 @@
   find_parent();
 }
 
+std::unique_ptr<HotRestart::Descriptor> HotRestart::watched(OwnedDescriptor descriptor) {
+  auto watched = std::make_unique<Descriptor>(io_);
+  const error_code failed =
+      register_descriptor([&](error_code& ec) { watched->assign(descriptor.get(), ec); });
+  if (failed) {
+    std::cerr << "hot restart: cannot watch the link to another process of this gateway: "
+              << failed.message() << "; the link is closed\n";
+    return nullptr;
+  }
+  descriptor.release();
+  return watched;
+}
+
 // ---- The parent
 
 // Connects to the parent and receives its listening socket. No parent is found if the path is an
@@ -68,13 +84,15 @@
     return;
   }
   inherited_listener_ = std::move(answer.descriptor);
-  parent_ = std::make_unique<Descriptor>(io_, link.release());
-  watch_parent();
+  parent_ = watched(std::move(link));
+  if (parent_) {
+    watch_parent();
+  }
 }
 
 // Waits for the end of the parent, which sends no further packets.
 void HotRestart::watch_parent() {
-  parent_->async_wait(Descriptor::wait_read, [this](error_code ec) {
+  wait_readable(*parent_, [this](error_code ec) {
     if (ec || !parent_) {
       return;
     }
@@ -112,25 +130,30 @@
               << "; a new process of this gateway will open its own listening socket\n";
     return;
   }
-  child_acceptor_ = std::make_unique<Descriptor>(io_, acceptor.release());
-  accept_child();
+  child_acceptor_ = watched(std::move(acceptor));
+  if (child_acceptor_) {
+    accept_child();
+  }
 }
 
 void HotRestart::accept_child() {
-  child_acceptor_->async_wait(Descriptor::wait_read, [this](error_code ec) {
+  wait_readable(*child_acceptor_, [this](error_code ec) {
     if (ec) {
       return;
     }
     OwnedDescriptor candidate = accept_packet_socket(child_acceptor_->native_handle());
     if (candidate.is_open() && is_peer_same_user(candidate.get())) {
-      await_child_identity(std::make_shared<Descriptor>(io_, candidate.release()));
+      await_child_identity(watched(std::move(candidate)));
     }
     accept_child();
   });
 }
 
 void HotRestart::await_child_identity(const std::shared_ptr<Descriptor>& candidate) {
-  candidate->async_wait(Descriptor::wait_read, [this, candidate](error_code ec) {
+  if (!candidate) {
+    return;
+  }
+  wait_readable(*candidate, [this, candidate](error_code ec) {
     if (!ec) {
       on_child_identity(*candidate);
     }
@@ -150,7 +173,7 @@
   if (packet.text != identity_packet_ || child_) {
     return;
   }
-  child_ = std::make_unique<Descriptor>(io_, candidate.release());
+  child_ = std::make_unique<Descriptor>(std::move(candidate));
   // Called before the welcome packet is sent: after receiving it the child may serve, and by then
   // this process must have reduced its limits to its share.
   on_change_();
@@ -163,7 +186,7 @@
 }
 
 void HotRestart::watch_child() {
-  child_->async_wait(Descriptor::wait_read, [this](error_code ec) {
+  wait_readable(*child_, [this](error_code ec) {
     if (!ec && child_) {
       on_child_packet();
     }
--- a/src/net/hot_restart/hot_restart.hpp
+++ b/src/net/hot_restart/hot_restart.hpp
@@ -50,6 +50,8 @@
  private:
   using Descriptor = boost::asio::posix::stream_descriptor;
 
+  // Returns the descriptor as one that the event loop watches, or null if that failed.
+  std::unique_ptr<Descriptor> watched(OwnedDescriptor descriptor);
   void find_parent();
   void watch_parent();
   void accept_child();
--- a/src/net/hot_restart/packet_socket.cpp
+++ b/src/net/hot_restart/packet_socket.cpp
@@ -64,21 +64,6 @@
 
 }  // namespace
 
-OwnedDescriptor& OwnedDescriptor::operator=(OwnedDescriptor&& other) noexcept {
-  std::swap(fd_, other.fd_);
-  return *this;
-}
-
-OwnedDescriptor::~OwnedDescriptor() {
-  if (fd_ >= 0) {
-    ::close(fd_);
-  }
-}
-
-int OwnedDescriptor::release() {
-  return std::exchange(fd_, -1);
-}
-
 OwnedDescriptor connect_packet_socket(const std::string& path) {
   const std::optional<sockaddr_un> address = unix_address(path);
   if (!address) {
--- /dev/null
+++ b/src/net/system_call/connection_acceptor.cpp
@@ -0,0 +1,104 @@
+#include "net/system_call/connection_acceptor.hpp"
+
+#include <sys/socket.h>
+
+#include <boost/asio/error.hpp>
+#include <cerrno>
+#include <chrono>
+#include <utility>
+
+#include "net/system_call/interrupted_call.hpp"
+#include "net/system_call/socket_wait.hpp"
+
+namespace quota_gateway::net {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::chrono::milliseconds kAcceptRetryDelay{20};
+constexpr std::chrono::milliseconds kRegistrationRetryDelay{5};
+
+// Whether accept() may be called again at once: none waits, or the first client has left.
+bool is_acceptor_usable(int error) {
+  return error == EAGAIN || error == EWOULDBLOCK || error == ECONNABORTED || error == EPROTO;
+}
+
+}  // namespace
+
+ConnectionAcceptor::ConnectionAcceptor(boost::asio::io_context& io, tcp::acceptor& acceptor,
+                                       std::function<void(tcp::socket)> on_accepted)
+    : io_(io), acceptor_(acceptor), on_accepted_(std::move(on_accepted)), timer_(io) {}
+
+void ConnectionAcceptor::accept_next() {
+  is_stopped_ = false;
+  if (is_waiting_) {
+    return;
+  }
+  error_code ignored;
+  acceptor_.non_blocking(true, ignored);
+  is_waiting_ = true;
+  wait_readable(acceptor_, [this](error_code ec) {
+    is_waiting_ = false;
+    on_readable(ec);
+  });
+}
+
+void ConnectionAcceptor::stop() {
+  is_stopped_ = true;
+  error_code ignored;
+  acceptor_.cancel(ignored);
+}
+
+void ConnectionAcceptor::on_readable(error_code ec) {
+  if (is_stopped_ || !acceptor_.is_open()) {
+    return;
+  }
+  if (ec == boost::asio::error::operation_aborted) {
+    return accept_next();  // accepting was stopped and started again since then
+  }
+  const int accepted = repeat_if_interrupted(
+      [this] { return ::accept(acceptor_.native_handle(), nullptr, nullptr); });
+  if (accepted >= 0) {
+    unregistered_ = OwnedDescriptor(accepted);
+    return register_connection();
+  }
+  if (is_acceptor_usable(errno)) {
+    return accept_next();
+  }
+  call_after(kAcceptRetryDelay, &ConnectionAcceptor::accept_unless_stopped);
+}
+
+// A connection that the event loop cannot watch for lack of memory is kept until it can.
+void ConnectionAcceptor::register_connection() {
+  tcp::socket socket(io_);
+  error_code ec;
+  socket.assign(tcp::v4(), unregistered_.get(), ec);
+  if (ec) {
+    return call_after(kRegistrationRetryDelay, &ConnectionAcceptor::register_connection);
+  }
+  unregistered_.release();
+  error_code ignored;
+  socket.non_blocking(true, ignored);
+  on_accepted_(std::move(socket));
+}
+
+void ConnectionAcceptor::accept_unless_stopped() {
+  if (!is_stopped_) {
+    accept_next();
+  }
+}
+
+void ConnectionAcceptor::call_after(std::chrono::milliseconds delay,
+                                    void (ConnectionAcceptor::*step)()) {
+  is_waiting_ = true;
+  timer_.expires_after(delay);
+  timer_.async_wait([this, step](error_code ec) {
+    is_waiting_ = false;
+    if (!ec) {
+      (this->*step)();
+    }
+  });
+}
+
+}  // namespace quota_gateway::net
--- a/src/net/system_call/send_all.hpp
+++ b/src/net/system_call/send_all.hpp
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "net/system_call/socket_io.hpp"
+#include "net/system_call/socket_wait.hpp"
 
 namespace quota_gateway::net {
 
@@ -40,17 +41,16 @@
                });
     return;
   }
-  socket.async_wait(asio::ip::tcp::socket::wait_write,
-                    [&socket, bytes, sent, is_current = std::move(is_current),
-                     on_done = std::move(on_done)](error_code wait_error) mutable {
-                      if (!is_current()) {
-                        return;
-                      }
-                      if (wait_error) {
-                        return on_done(wait_error, sent);
-                      }
-                      send_all(socket, bytes, std::move(is_current), std::move(on_done), sent);
-                    });
+  wait_writable(socket, [&socket, bytes, sent, is_current = std::move(is_current),
+                         on_done = std::move(on_done)](error_code wait_error) mutable {
+    if (!is_current()) {
+      return;
+    }
+    if (wait_error) {
+      return on_done(wait_error, sent);
+    }
+    send_all(socket, bytes, std::move(is_current), std::move(on_done), sent);
+  });
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/upstream/attempt_runner.cpp
+++ b/src/net/upstream/attempt_runner.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "net/system_call/socket_io.hpp"
+#include "net/system_call/socket_wait.hpp"
 
 namespace quota_gateway::net {
 namespace {
@@ -219,12 +220,11 @@
 }
 
 void AttemptRunner::await_writable(const ConnectionPtr& connection) {
-  connection->socket.async_wait(
-      tcp::socket::wait_write, [this, connection, key = connection->attempt](error_code) {
-        if (connection->state == State::kWriting && connection->attempt == key) {
-          on_writable(connection);
-        }
-      });
+  wait_writable(connection->socket, [this, connection, key = connection->attempt](error_code) {
+    if (connection->state == State::kWriting && connection->attempt == key) {
+      on_writable(connection);
+    }
+  });
 }
 
 void AttemptRunner::on_writable(const ConnectionPtr& connection) {
--- a/src/net/upstream/connection_pool.cpp
+++ b/src/net/upstream/connection_pool.cpp
@@ -6,6 +6,8 @@
 #include <memory>
 #include <utility>
 
+#include "net/system_call/socket_wait.hpp"
+
 namespace quota_gateway::net {
 namespace {
 
@@ -146,7 +148,7 @@
 }
 
 void ConnectionPool::connect(const ConnectionPtr& connection) {
-  connection->socket.async_connect(connection->address, [this, connection](error_code ec) {
+  connect_socket(connection->socket, connection->address, [this, connection](error_code ec) {
     if (connection->state != State::kConnecting) {
       return;
     }
--- a/src/net/upstream/response_reader.cpp
+++ b/src/net/upstream/response_reader.cpp
@@ -13,6 +13,7 @@
 
 #include "net/http/framing.hpp"
 #include "net/system_call/socket_io.hpp"
+#include "net/system_call/socket_wait.hpp"
 #include "net/upstream/response_classifier.hpp"
 
 namespace quota_gateway::net {
@@ -94,7 +95,7 @@
     return;
   }
   connection->read_pending = true;
-  connection->socket.async_wait(tcp::socket::wait_read, [this, connection](error_code ec) {
+  wait_readable(connection->socket, [this, connection](error_code ec) {
     connection->read_pending = false;
     on_readable(connection, ec);
   });
--- a/tests/net/server/client_connections_test.cpp
+++ b/tests/net/server/client_connections_test.cpp
@@ -43,6 +43,36 @@
   EXPECT_EQ(status(late), 200);
 }
 
+// Guards against a new client that costs another one its last response: what the client's system
+// has not received is discarded if its connection is closed and more input arrives.
+TEST_F(ServerClientConnections, ALastResponseThatIsNotReadYetSurvivesNewClients) {
+  constexpr std::size_t kMoreThanTheClientReceivesAhead = 300'000;
+  const std::string body(kMoreThanTheClientReceivesAhead, 'a');
+  test_bed.config.max_sockets = 64;  // 32 clients
+  test_bed.add_persisted_endpoint(listed_endpoint("s1", server1));
+  server1.on_request = [&body](PeerConnection& connection, const HttpRequest&) {
+    connection.write(http_response("200 OK", "", body));
+  };
+  test_bed.start();
+  Client reading_late = test_bed.client();
+  reading_late.send(get_request("a", "Connection: close\r\n"));
+  const auto run_for = [this](Micros duration) {
+    const Micros end = Clock().now() + duration;
+    return test_bed.run_until([end] { return Clock().now() >= end; });
+  };
+  ASSERT_TRUE(run_for(100'000));  // until the response is written
+  std::deque<Client> silent_clients;
+  for (int i = 0; i < 40; ++i) {
+    silent_clients.emplace_back(test_bed.io, test_bed.server->address());
+  }
+  ASSERT_TRUE(run_for(50'000));
+  reading_late.send("x");
+  ASSERT_TRUE(run_for(50'000));
+  const auto response = reading_late.receive();
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->body().size(), body.size());
+}
+
 TEST_F(ServerClientConnections, AcceptsFragmentedAndPipelinedRequests) {
   test_bed.add_persisted_endpoint(listed_endpoint("s1", server1));
   test_bed.start();
--- a/tests/support/audited_traffic.cpp
+++ b/tests/support/audited_traffic.cpp
@@ -45,6 +45,10 @@
   });
 }
 
+milliseconds LoopLag::overdue() const {
+  return std::max(milliseconds(0), since(due_));
+}
+
 // ---- The audit
 
 std::string RequestAudit::add(int gateway) {
@@ -66,7 +70,8 @@
   ++request.attempts;
   if (request.ended_at && since(*request.ended_at) > kMaxLateAttempt + lag()) {
     on_lost(id, "an attempt begins " + std::to_string(since(*request.ended_at).count()) +
-                    " ms after its end");
+                    " ms after its end; the test's loop is late by " +
+                    std::to_string(lag_.overdue().count()) + " ms");
   }
 }
 
--- a/tests/support/audited_traffic.hpp
+++ b/tests/support/audited_traffic.hpp
@@ -29,6 +29,8 @@
 class LoopLag {
  public:
   explicit LoopLag(asio::io_context& io);
+  // How late the loop is now: the time since the measurement that should have run by now.
+  milliseconds overdue() const;
   // The largest lag of the last second or so.
   milliseconds recent() const { return std::max(previous_, current_); }
 
