--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -40,7 +40,8 @@
 // end in a tiny piece.
 constexpr std::size_t kMinBodyReadBytes = 8 << 10;
 
-constexpr Micros kUnreadInputCheckInterval = 50'000;  // us
+constexpr Micros kUnreadInputCheckInterval = 50'000;         // us
+constexpr Micros kUnreceivedResponseCheckInterval = 10'000;  // us
 
 // Most of the memory that many clients fill is free again after this time.
 constexpr Micros kLackOfMemoryRetryAfter = 1'000'000;  // us
@@ -517,8 +518,18 @@
 }
 
 void ClientSession::close_if_idle() {
-  if (is_idle_between_requests() && !has_unread_input(socket_)) {
-    close({CloseReason::kIdle});
+  if (!is_idle_between_requests() || has_unread_input(socket_)) {
+    return;
+  }
+  if (unacknowledged_bytes(socket_) == 0) {
+    return close({CloseReason::kIdle});
+  }
+  if (context_.draining) {
+    context_.timers.after(kUnreceivedResponseCheckInterval, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->close_if_idle();
+      }
+    });
   }
 }
 
@@ -551,10 +562,15 @@
   return activity_.may_send_first_request(now) || has_unread_input(socket_);
 }
 
-// A session with unread input is not evicted, because the input may complete a request.
-EvictionRank ClientSession::eviction_rank() const {
+// A session with unread input is not evicted, because the input may complete a request. Neither is
+// one whose client has not received all of a response: input that is unread then, or arrives after
+// the close, resets the connection, and the rest of the response is discarded.
+EvictionRank ClientSession::eviction_rank() {
   const EvictionRank rank = activity_.eviction_rank();
-  if (rank == EvictionRank::kNever || rank == EvictionRank::kAfterResponse) {
+  if (rank == EvictionRank::kNever || unacknowledged_bytes(socket_) > 0) {
+    return EvictionRank::kNever;
+  }
+  if (rank == EvictionRank::kAfterResponse) {
     return rank;
   }
   return has_unread_input(socket_) ? EvictionRank::kNever : rank;
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -45,7 +45,8 @@
   // See ClientListener.
   bool check_connected();
 
-  // Closes the session if it is idle between requests and its socket has no unread input.
+  // Closes the session if it is idle between requests, its client has received all responses, and
+  // its socket has no unread input. During a shutdown, waits until the client has received them.
   void close_if_idle();
   void close(const SessionClose& cause);
   // Rejects the request or closes the connection if a time limit has passed.
@@ -58,7 +59,7 @@
   std::size_t buffered_bytes() const { return reader_.buffered_bytes(); }
   // Number of bytes for which the session holds memory for them, whether used or not.
   std::size_t allocated_input_bytes() const { return reader_.allocated_input_bytes(); }
-  EvictionRank eviction_rank() const;
+  EvictionRank eviction_rank();
   // Whether a request or a response could be lost if the process ended now.
   bool has_unfinished_work(Micros now) const;
 
