--- a/src/net/upstream/upstream_connection.hpp
+++ b/src/net/upstream/upstream_connection.hpp
@@ -118,7 +118,6 @@
   // Start time of the server process for which the connection was opened.
   Micros server_started_at = 0;
   boost::asio::ip::tcp::socket socket;
-  NoDelayOption no_delay;
   AttemptKey attempt;
 
   // Request state.
@@ -133,11 +132,16 @@
   bool awaits_body_piece = false;
   // Whether the request's body is sent with chunked encoding.
   bool is_chunked = false;
+  NoDelayOption no_delay;
   // Time at which the socket last took a part of `output`, or at which its writing began.
   Micros last_write_at = 0;
 
   // Response state.
   bool read_pending = false;  // a wait for the socket to be readable is pending
+  // Whether the server is known to send bytes that no request awaits.
+  bool is_distrusted = false;
+  // Whether the connection, which is idle, is out of use, see ConnectionReusePolicy.
+  bool is_observed = false;
   // Received bytes that were not parsed yet. At most the limits of parse_received() and one read.
   ReceiveBuffer received;
   std::optional<ResponseParser> parser;
@@ -156,10 +160,6 @@
   Micros idle_since = 0;
   // Idle time before the current request, in microseconds; 0 for the connection's first request.
   Micros idle_before_request = 0;
-  // Whether an idle connection is out of use, see ConnectionReusePolicy.
-  bool is_observed = false;
-  // Whether the server is known to send bytes that no request awaits.
-  bool is_distrusted = false;
 
  private:
   // Parses some of the received bytes. Returns false if more are needed.
