--- a/tests/net/server/system_call_fault_test.cpp
+++ b/tests/net/server/system_call_fault_test.cpp
@@ -37,7 +37,7 @@
     }
     const std::string config = with_shared_counter(
         with_post_class(config_json(port, servers.front(), discovery, extra_fields, entries)));
-    process.emplace(config, "", 0, faults);
+    process.emplace(config, "", 0, ProcessFaults{.system_calls = faults});
     ASSERT_NE(process->read_log_until("ready").find("ready"), std::string::npos);
   }
 
--- a/tests/support/gateway_process.cpp
+++ b/tests/support/gateway_process.cpp
@@ -1,6 +1,7 @@
 #include "support/gateway_process.hpp"
 
 #include <gtest/gtest.h>
+#include <poll.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -20,6 +21,7 @@
 constexpr std::uint16_t kFirstPort = 12'000;
 constexpr int kPortRanges = 1'000;
 constexpr int kPortsPerRange = 16;
+constexpr std::size_t kLogPieceBytes = 4 << 10;
 constexpr int kExecFailed = 127;  // exit code of a shell that cannot run a command
 
 std::string create_temporary_file() {
@@ -41,9 +43,14 @@
   ::setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-void load_system_call_faults(const std::string& faults) {
-  ::setenv("LD_PRELOAD", QUOTA_GATEWAY_SYSTEM_CALL_FAULTS, 1);
-  ::setenv("SYSTEM_CALL_FAULTS", faults.c_str(), 1);
+void load_faults(const ProcessFaults& faults) {
+  std::string libraries = QUOTA_GATEWAY_SYSTEM_CALL_FAULTS;
+  if (!faults.allocations.empty()) {
+    libraries += std::string(" ") + QUOTA_GATEWAY_ALLOCATION_FAULTS;
+  }
+  ::setenv("LD_PRELOAD", libraries.c_str(), 1);
+  ::setenv("SYSTEM_CALL_FAULTS", faults.system_calls.c_str(), 1);
+  ::setenv("ALLOCATION_FAULTS", faults.allocations.c_str(), 1);
   // The address sanitizer expects its own library to be the first.
   const char* const options = std::getenv("ASAN_OPTIONS");
   const std::string all_options = std::string(options ? options : "") + ":verify_asan_link_order=0";
@@ -58,7 +65,7 @@
 }  // namespace
 
 Process::Process(const std::string& config, const std::string& hot_restart_directory,
-                 std::size_t max_descriptors, const std::string& system_call_faults)
+                 std::size_t max_descriptors, const ProcessFaults& faults)
     : config_path_(create_temporary_file()) {
   write_configuration(config);
   std::array<int, 2> pipe_ends{};
@@ -72,8 +79,8 @@
     if (max_descriptors > 0) {
       limit_descriptors(max_descriptors);
     }
-    if (!system_call_faults.empty()) {
-      load_system_call_faults(system_call_faults);
+    if (!faults.system_calls.empty() || !faults.allocations.empty()) {
+      load_faults(faults);
     }
     ::setenv("RELAY_CONFIG", config_path_.c_str(), 1);
     ::setenv("TMPDIR", hot_restart_directory.c_str(), 1);
@@ -105,6 +112,20 @@
   return log;
 }
 
+std::string Process::read_available_log() const {
+  std::string log;
+  std::array<char, kLogPieceBytes> piece{};
+  pollfd readable{log_fd_, POLLIN, 0};
+  while (::poll(&readable, 1, 0) == 1) {
+    const auto size = ::read(log_fd_, piece.data(), piece.size());
+    if (size <= 0) {
+      break;
+    }
+    log.append(piece.data(), std::size_t(size));
+  }
+  return log;
+}
+
 void Process::write_configuration(const std::string& config) {
   std::ofstream(config_path_, std::ios::trunc) << config;
 }
--- a/tests/support/gateway_process.hpp
+++ b/tests/support/gateway_process.hpp
@@ -13,15 +13,20 @@
 
 namespace quota_gateway::net::testing {
 
+// The faults of a process; an empty text: none.
+struct ProcessFaults {
+  std::string system_calls;  // see tests/support/system_call_faults
+  std::string allocations;   // see tests/support/allocation_faults; not with the address sanitizer
+};
+
 // A gateway process that the constructor starts. The destructor kills it if it still runs.
 class Process {
  public:
   // `config`: the text of the configuration file. `hot_restart_directory`: the value of TMPDIR,
   // which a process shares with the peer processes of its gateway. `max_descriptors`: the limit on
-  // the descriptors of the process; 0: that of the test. `system_call_faults`: the value of
-  // SYSTEM_CALL_FAULTS, see tests/support/system_call_faults; empty: no faults.
+  // the descriptors of the process; 0: that of the test.
   explicit Process(const std::string& config, const std::string& hot_restart_directory = "",
-                   std::size_t max_descriptors = 0, const std::string& system_call_faults = "");
+                   std::size_t max_descriptors = 0, const ProcessFaults& faults = {});
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
   ~Process();
@@ -29,6 +34,9 @@
   // Reads the log up to the end of the first line that contains `text`, or up to the end of the
   // log, and returns what was read. Blocks until then.
   std::string read_log_until(const std::string& text) const;
+  // Returns what the process has logged since the last call. Does not block. A process whose log is
+  // not read blocks once its pipe is full.
+  std::string read_available_log() const;
   // Overwrites the configuration file. The process reads it at the next reload.
   void write_configuration(const std::string& config);
   // Sends SIGHUP, which makes the process reload its configuration.
