End attempts whose request a server's system has not received as their client leaves

Cause: the system dropped a segment of the request and sent it again 200 ms later. Where attempts must not be cancelled, a request that did not arrive was taken for one that runs.

Change: 50 ms after a request's end, an attempt that is completely sent and not completely acknowledged is reset: the server's system does not have it, as Linux acknowledges within 40 ms.

--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -13,6 +13,7 @@
 #include "net/client/socket_status.hpp"
 #include "net/http/framing.hpp"
 #include "net/system_call/send_all.hpp"
+#include "net/system_call/send_queue.hpp"
 #include "net/system_call/socket_io.hpp"
 #include "net/system_call/socket_options.hpp"
 #include "net/system_call/socket_wait.hpp"
--- a/src/net/client/reset_after_delivery.cpp
+++ b/src/net/client/reset_after_delivery.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "net/client/socket_status.hpp"
+#include "net/system_call/send_queue.hpp"
 #include "net/system_call/socket_options.hpp"
 
 namespace quota_gateway::net {
--- a/src/net/client/socket_status.cpp
+++ b/src/net/client/socket_status.cpp
@@ -1,8 +1,6 @@
 #include "net/client/socket_status.hpp"
 
-#include <linux/sockios.h>
 #include <poll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -31,12 +29,6 @@
   return socket.available(ignored);
 }
 
-std::size_t unacknowledged_bytes(boost::asio::ip::tcp::socket& socket) {
-  int bytes = 0;
-  const int result = ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes);
-  return result == 0 && bytes > 0 ? std::size_t(bytes) : 0;
-}
-
 std::string peek_tail(boost::asio::ip::tcp::socket& socket, std::size_t unread,
                       std::size_t max_size, std::span<char> scratch) {
   std::string tail(std::min(unread, max_size), '\0');
--- a/src/net/client/socket_status.hpp
+++ b/src/net/client/socket_status.hpp
@@ -15,10 +15,6 @@
 // Number of received bytes that have not been read.
 std::size_t unread_bytes(const boost::asio::ip::tcp::socket& socket);
 
-// Number of sent bytes that the peer's system has not acknowledged, including those that wait in
-// this system. 0 if the system does not tell.
-std::size_t unacknowledged_bytes(boost::asio::ip::tcp::socket& socket);
-
 // Returns the last of the `unread` received bytes, at most `max_size` of them, without reading
 // them. Copies all of them through `scratch`, as the kernel offers no peek with an offset.
 std::string peek_tail(boost::asio::ip::tcp::socket& socket, std::size_t unread,
--- a/src/net/server/attempt_reporter.cpp
+++ b/src/net/server/attempt_reporter.cpp
@@ -11,8 +11,8 @@
   return result;
 }
 
-AttemptReporter::AttemptReporter(const Clock& clock, RequestTable& requests, EventBatcher& events)
-    : clock_(clock), requests_(requests), events_(events) {}
+AttemptReporter::AttemptReporter(EventLoop loop, RequestTable& requests, EventBatcher& events)
+    : loop_(loop), requests_(requests), events_(events) {}
 
 void AttemptReporter::report_complete(RequestTable::Iterator entry, AttemptKey key,
                                       const AttemptResult& result) {
@@ -29,7 +29,7 @@
   // The duration ends at the first byte of the response: a response that arrives slowly does not
   // occupy its server for longer than others do. If the transfer counted as work of the server, the
   // fleet would seem to have too many requests in flight.
-  const Micros ended_at = result.first_byte_at ? *result.first_byte_at : clock_.now();
+  const Micros ended_at = result.first_byte_at ? *result.first_byte_at : loop_.clock.now();
   completed.duration = ended_at - attempt.sent_at;
   completed.load = result.load;
   completed.billed_units = result.billed_units;
@@ -39,14 +39,23 @@
   requests_.remove_if_done(entry);
 }
 
-void AttemptReporter::end_unwritten_attempt(std::uint64_t request) {
+void AttemptReporter::end_undelivered_attempt(std::uint64_t request) {
+  end_attempt(request, &AttemptHandle::abandon_unwritten);
+  if (requests_.contains(request)) {
+    loop_.timers.after(kMaxAcknowledgementTime, [this, request] {
+      end_attempt(request, &AttemptHandle::abandon_undelivered);
+    });
+  }
+}
+
+void AttemptReporter::end_attempt(std::uint64_t request, bool (AttemptHandle::*abandon)()) {
   const auto entry = requests_.find(request);
   if (entry == requests_.end() || entry->second.attempts.empty()) {
     return;
   }
   const AttemptKey key{request, entry->second.latest_attempt()};
   Attempt& attempt = entry->second.attempt(key.attempt);
-  if (attempt.in_flight && attempt.handle.abandon_unwritten()) {
+  if (attempt.in_flight && (attempt.handle.*abandon)()) {
     report_complete(entry, key, result_without_response(Outcome::kNotSent));
   }
 }
--- a/src/net/server/attempt_reporter.hpp
+++ b/src/net/server/attempt_reporter.hpp
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-#include "net/event_loop/clock.hpp"
+#include "net/event_loop/event_loop.hpp"
 #include "net/server/event_batcher.hpp"
 #include "net/server/request_table.hpp"
 #include "net/upstream/attempt.hpp"
@@ -16,7 +16,7 @@
 
 class AttemptReporter {
  public:
-  AttemptReporter(const Clock& clock, RequestTable& requests, EventBatcher& events);
+  AttemptReporter(EventLoop loop, RequestTable& requests, EventBatcher& events);
 
   // Reports that an attempt in flight has ended. Removes the request and invalidates `entry` if the
   // request is finished and has no other attempt in flight.
@@ -25,10 +25,15 @@
   // written, and reports it as never sent. Without this, an attempt that waits for a connection,
   // for its server or for the rest of the body would go on although nobody waits for its response.
   // Needs no permission to cancel attempts: a server does not begin a request before its last byte.
-  void end_unwritten_attempt(std::uint64_t request);
+  //
+  // A written attempt that the server's system has not received shortly afterwards ends as well.
+  void end_undelivered_attempt(std::uint64_t request);
 
  private:
-  const Clock& clock_;
+  // Ends the attempt in flight, if `abandon` does so, and reports it as never sent.
+  void end_attempt(std::uint64_t request, bool (AttemptHandle::*abandon)());
+
+  EventLoop loop_;
   RequestTable& requests_;
   EventBatcher& events_;
 };
--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -70,7 +70,7 @@
       events_(loop_, gateway_, executor_),
       executor_(loop_, events_, dispatcher_),
       finisher_(requests_, clients_, stats_),
-      reporter_(clock_, requests_, events_),
+      reporter_(loop_, requests_, events_),
       deadlines_(loop_, {settings_, requests_, clients_, events_, finisher_, reporter_},
                  expiry_callback()),
       streamer_(clock_, {requests_, pool_, clients_, events_, finisher_, reporter_, deadlines_}),
--- a/src/net/server/request_deadlines.cpp
+++ b/src/net/server/request_deadlines.cpp
@@ -113,7 +113,7 @@
   events_.push(ClientDisconnected{std::to_string(id)});
   const auto remaining = requests_.find(id);
   if (remaining != requests_.end() && !must_not_be_cancelled(remaining->second)) {
-    reporter_.end_unwritten_attempt(id);
+    reporter_.end_undelivered_attempt(id);
   }
 }
 
--- a/src/net/server/request_dispatcher.cpp
+++ b/src/net/server/request_dispatcher.cpp
@@ -106,7 +106,7 @@
     events_.push(ClientDisconnected{std::to_string(id)});
   }
   requests_.remove_if_done(entry);
-  reporter_.end_unwritten_attempt(id);
+  reporter_.end_undelivered_attempt(id);
 }
 
 void RequestDispatcher::release_held_requests() {
--- a/src/net/upstream/attempt_handle.cpp
+++ b/src/net/upstream/attempt_handle.cpp
@@ -37,6 +37,14 @@
   return true;
 }
 
+bool AttemptHandle::abandon_undelivered() {
+  if (runner_ == nullptr || !runner_->abandon_undelivered(key_)) {
+    return false;
+  }
+  runner_ = nullptr;
+  return true;
+}
+
 bool AttemptHandle::deliver_started() {
   return runner_ != nullptr && runner_->deliver_started(key_);
 }
--- a/src/net/upstream/attempt_handle.hpp
+++ b/src/net/upstream/attempt_handle.hpp
@@ -8,6 +8,9 @@
 
 class AttemptRunner;
 
+// A system acknowledges what it has received within this time, 40 ms on Linux if it delays that.
+constexpr Micros kMaxAcknowledgementTime = 50'000;  // us
+
 // Owns one attempt and abandons it at the end of the handle's lifetime. Has no effect on an attempt
 // that has ended. The pool must outlive the handle.
 class AttemptHandle {
@@ -27,6 +30,11 @@
   // does not run an unwritten request, so this is not a cancellation. Returns whether it ended.
   bool abandon_unwritten();
 
+  // Ends the attempt like abandon() if all of its request was sent and the server's system has not
+  // acknowledged all of it. After kMaxAcknowledgementTime the server does not have the request: a
+  // segment was lost, and would be sent again. Returns whether the attempt ended.
+  bool abandon_undelivered();
+
   // Makes the event loop report on_response_started if the response has begun and may be a long one
   // that arrives slowly. Returns whether it does. Such an attempt must not be ended as stalled or
   // late: a long response is in time if its first bytes are.
--- a/src/net/upstream/attempt_runner.cpp
+++ b/src/net/upstream/attempt_runner.cpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <utility>
 
+#include "net/system_call/send_queue.hpp"
 #include "net/system_call/socket_io.hpp"
 #include "net/system_call/socket_wait.hpp"
 
@@ -153,6 +154,21 @@
   return true;
 }
 
+bool AttemptRunner::abandon_undelivered(AttemptKey key) {
+  const auto entry = attempts_.find(key);
+  if (entry == attempts_.end()) {
+    return false;
+  }
+  UpstreamConnection& connection = *entry->second;
+  const bool is_undelivered = connection.state == State::kWaiting &&
+                              !connection.has_response_bytes() &&
+                              awaits_acknowledgement_only(connection.socket);
+  if (is_undelivered) {
+    abandon(key);
+  }
+  return is_undelivered;
+}
+
 bool AttemptRunner::is_being_written(AttemptKey key) const {
   const auto entry = attempts_.find(key);
   return entry != attempts_.end() && entry->second->state == State::kWriting;
--- a/src/net/upstream/attempt_runner.hpp
+++ b/src/net/upstream/attempt_runner.hpp
@@ -64,6 +64,7 @@
   bool deliver_started(AttemptKey key);
   bool abandon(AttemptKey key);
   bool abandon_unwritten(AttemptKey key);
+  bool abandon_undelivered(AttemptKey key);
   bool has_connection(AttemptKey key) const { return attempts_.contains(key); }
   bool is_being_written(AttemptKey key) const;
   Counts counts() const;
--- a/tests/net/server/system_call_fault_test.cpp
+++ b/tests/net/server/system_call_fault_test.cpp
@@ -1,6 +1,8 @@
 // A gateway process whose system calls on sockets are interrupted or do less than they were asked
 // to. Every request must get its response all the same.
 #include <gtest/gtest.h>
+#include <linux/filter.h>
+#include <sys/socket.h>
 
 #include <list>
 #include <memory>
@@ -274,5 +276,53 @@
   EXPECT_EQ(counter.peers.size(), 1U) << "the connection was given up";
 }
 
+// Makes the system drop all segments that arrive at the socket, until the result is destroyed.
+class SegmentLoss {
+ public:
+  explicit SegmentLoss(tcp::socket& socket) : socket_(socket.native_handle()) {
+    sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+    const sock_fprog program{1, &drop_all};
+    EXPECT_EQ(::setsockopt(socket_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program), 0);
+  }
+  SegmentLoss(const SegmentLoss&) = delete;
+  SegmentLoss& operator=(const SegmentLoss&) = delete;
+  ~SegmentLoss() {
+    const int ignored = 0;
+    ::setsockopt(socket_, SOL_SOCKET, SO_DETACH_FILTER, &ignored, sizeof ignored);
+  }
+
+ private:
+  int socket_;
+};
+
+// Guards against an attempt that the system sends again after its client has left.
+TEST_F(SystemCallFaults, ALostSegmentIsNotSentAgainForAClientThatLeft) {
+  constexpr Micros kConnectionRest = 100'000;
+  constexpr Micros kUntilLateAttempt = 90'000;
+  constexpr Micros kUntilSentAgain = 500'000;
+  const auto wait = [this](Micros time) {
+    const Micros end = Clock().now() + time;
+    run_until(io, [&] { return Clock().now() >= end; });
+  };
+  while (servers.size() > 1) {
+    servers.pop_back();
+  }
+  FakeServer& server = servers.front();
+  start("");
+  Client leaving = client();
+  ASSERT_EQ(status_of(leaving, post_request("a")), 200);
+  wait(kConnectionRest);
+  {
+    const SegmentLoss loss(server.peers.front()->socket);
+    leaving.send(post_request("b"));
+    wait(kUntilLateAttempt / 2);
+    leaving.socket.close();
+    wait(kUntilLateAttempt);
+  }
+  wait(kUntilSentAgain);
+  EXPECT_EQ(server.peers.size(), 1U) << "the request was sent on another connection";
+  EXPECT_EQ(server.requests.size(), 1U);
+}
+
 }  // namespace
 }  // namespace quota_gateway::net::testing
