--- a/src/net/memory/memory_budget.cpp
+++ b/src/net/memory/memory_budget.cpp
@@ -9,6 +9,9 @@
 // to endpoint lists and to settings.
 constexpr double kHighShare = 0.625;
 constexpr double kCriticalShare = 0.75;
+// Parts of the reserve from which on requests are rejected.
+constexpr std::size_t kHighReserveDivisor = 32;
+constexpr std::size_t kCriticalReserveDivisor = 8;
 // Free blocks are many beyond this share of the limit.
 constexpr std::size_t kFreeBlocksDivisor = 32;
 // The memory is measured again once this share of the limit was allocated, freed or not.
@@ -53,6 +56,18 @@
   return memory_ == nullptr ? 0 : memory_->allocated_bytes() + overhead_bytes_;
 }
 
+ProcessMemory::Reserve MemoryBudget::reserve() const {
+  return memory_ == nullptr ? ProcessMemory::Reserve() : memory_->reserve();
+}
+
+std::uint64_t MemoryBudget::refused_allocations() const {
+  return memory_ == nullptr ? 0 : memory_->refused_allocations();
+}
+
+std::uint64_t MemoryBudget::failed_allocations() const {
+  return memory_ == nullptr ? 0 : memory_->failed_allocations();
+}
+
 MemoryPressure MemoryBudget::pressure_of(std::size_t bytes) const {
   const double share = double(bytes) / double(limit_bytes_);
   if (share > kCriticalShare) {
@@ -61,10 +76,24 @@
   return share > kHighShare ? MemoryPressure::kHigh : MemoryPressure::kNone;
 }
 
+// While the system gives no memory, what was accepted before is to be finished with the reserve.
+MemoryPressure MemoryBudget::pressure_of_reserve() const {
+  const ProcessMemory::Reserve reserve = memory_->reserve();
+  if (reserve.used_bytes > reserve.bytes / kCriticalReserveDivisor) {
+    return MemoryPressure::kCritical;
+  }
+  const bool is_high = reserve.used_bytes > reserve.bytes / kHighReserveDivisor;
+  return is_high ? MemoryPressure::kHigh : MemoryPressure::kNone;
+}
+
 MemoryPressure MemoryBudget::pressure() {
   if (memory_ == nullptr) {
     return MemoryPressure::kNone;
   }
+  return std::max(pressure_of_reserve(), pressure_of_limit());
+}
+
+MemoryPressure MemoryBudget::pressure_of_limit() {
   const std::size_t total = memory_->total_allocated_bytes();
   if (total - measured_at_total_ > limit_bytes_ / kMeasurementDivisor) {
     measure();
--- a/src/net/memory/memory_budget.hpp
+++ b/src/net/memory/memory_budget.hpp
@@ -37,6 +37,11 @@
   // Called at intervals.
   void release_free_blocks();
 
+  // See ProcessMemory; all 0 without a limit.
+  ProcessMemory::Reserve reserve() const;
+  std::uint64_t refused_allocations() const;
+  std::uint64_t failed_allocations() const;
+
   // Bytes that count against the limit, and the limit of this process; 0 without a limit.
   std::size_t used_bytes() const;
   std::size_t limit_bytes() const { return limit_bytes_; }
@@ -45,6 +50,8 @@
   void measure();
   bool has_many_free_blocks() const;
   MemoryPressure pressure_of(std::size_t bytes) const;
+  MemoryPressure pressure_of_limit();
+  MemoryPressure pressure_of_reserve() const;
 
   ProcessMemory* memory_ = nullptr;  // null: there is no limit
   std::size_t total_limit_bytes_ = 0;
--- a/src/net/memory/system_memory.cpp
+++ b/src/net/memory/system_memory.cpp
@@ -16,13 +16,18 @@
 
 constexpr std::size_t kMaxStatmBytes = 128;
 
+// The reserve is this part of the memory that the process may hold.
+constexpr std::size_t kReserveDivisor = 16;
+
 // Blocks above this size are mapped alone, so that their memory is returned as they are freed.
 // glibc raises its own threshold to the largest block that was freed.
 constexpr int kMinMappedBlockBytes = 128 << 10;
 
 }  // namespace
 
-SystemMemory::SystemMemory() : statm_fd_(::open("/proc/self/statm", O_RDONLY | O_CLOEXEC)) {
+SystemMemory::SystemMemory(std::size_t limit_bytes)
+    : statm_fd_(::open("/proc/self/statm", O_RDONLY | O_CLOEXEC)) {
+  hold_memory_reserve(limit_bytes / kReserveDivisor);
   ::mallopt(M_MMAP_THRESHOLD, kMinMappedBlockBytes);
   ::mallopt(M_ARENA_MAX, 1);
 }
@@ -63,6 +68,19 @@
 #endif
 }
 
+ProcessMemory::Reserve SystemMemory::reserve() const {
+  const MemoryReserveStatus status = memory_reserve_status();
+  return {.bytes = status.size, .used_bytes = status.used};
+}
+
+std::uint64_t SystemMemory::refused_allocations() const {
+  return memory_reserve_status().refused_allocations;
+}
+
+std::uint64_t SystemMemory::failed_allocations() const {
+  return memory_reserve_status().failed_allocations;
+}
+
 void SystemMemory::release_free_blocks() {
   ::malloc_trim(0);
 }
--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -215,6 +215,9 @@
   memory.used_bytes = memory_.used_bytes();
   memory.limit_bytes = memory_.limit_bytes();
   memory.rejected_requests = memory_.rejected_requests();
+  memory.refused_allocations = memory_.refused_allocations();
+  memory.failed_allocations = memory_.failed_allocations();
+  memory.reserve_used_bytes = memory_.reserve().used_bytes;
   return stats_.render(endpoints, upstream, memory);
 }
 
--- a/src/net/server/gateway_stats.cpp
+++ b/src/net/server/gateway_stats.cpp
@@ -76,6 +76,9 @@
   append_line(text, "memory.used", memory.used_bytes);
   append_line(text, "memory.limit", memory.limit_bytes);
   append_line(text, "memory.rejected", memory.rejected_requests);
+  append_line(text, "memory.refused_allocations", memory.refused_allocations);
+  append_line(text, "memory.failed_allocations", memory.failed_allocations);
+  append_line(text, "memory.reserve_used", memory.reserve_used_bytes);
   return text;
 }
 
--- a/src/net/server/gateway_stats.hpp
+++ b/src/net/server/gateway_stats.hpp
@@ -25,6 +25,9 @@
   std::size_t used_bytes = 0;
   std::size_t limit_bytes = 0;
   std::uint64_t rejected_requests = 0;
+  std::uint64_t refused_allocations = 0;
+  std::uint64_t failed_allocations = 0;
+  std::size_t reserve_used_bytes = 0;
 };
 
 // Finished requests of one class by outcome. Each accepted request is counted under exactly one.
--- a/src/net/server/main.cpp
+++ b/src/net/server/main.cpp
@@ -1,6 +1,7 @@
 // The gateway program: reads its configuration, then serves clients until SIGTERM or SIGINT.
 #include <boost/asio/io_context.hpp>
 #include <csignal>
+#include <cstddef>
 #include <exception>
 #include <iostream>
 #include <optional>
@@ -17,6 +18,8 @@
 namespace quota_gateway::net {
 namespace {
 
+constexpr std::size_t kBytesPerMegabyte = 1 << 20;
+
 // Logs an exception that leaves a handler and continues: it would otherwise end the process with
 // all requests in flight.
 void run_until_stopped(boost::asio::io_context& io) {
@@ -39,7 +42,7 @@
   boost::asio::io_context io(1);
   SignalHandler signals(io);
   hang_up_block.reset();
-  SystemMemory memory;
+  SystemMemory memory(config.memory_limit_mb * kBytesPerMegabyte);
   GatewayServer server(io, std::move(config), &memory);
   ConfigReloader reloader(io, server, name, std::move(file.tree));
   const auto drain = [&] {
--- a/tests/net/memory/memory_budget_test.cpp
+++ b/tests/net/memory/memory_budget_test.cpp
@@ -41,6 +41,17 @@
   EXPECT_EQ(budget.rejected_requests(), 2U);
 }
 
+TEST(MemoryBudget, RejectsRequestsWhileTheReserveIsInUse) {
+  StatedMemory memory;
+  MemoryBudget budget(memory, kLimit);
+  memory.stated_reserve = {.bytes = 1'000, .used_bytes = 100};
+  EXPECT_EQ(budget.pressure(), MemoryPressure::kHigh);
+  memory.stated_reserve.used_bytes = 200;
+  EXPECT_EQ(budget.pressure(), MemoryPressure::kCritical);
+  memory.stated_reserve.used_bytes = 0;
+  EXPECT_EQ(budget.pressure(), MemoryPressure::kNone);
+}
+
 // Guards against a limit on anonymous memory alone.
 TEST(MemoryBudget, FilesCountAgainstTheLimit) {
   StatedMemory memory;
--- a/tests/support/stated_memory.hpp
+++ b/tests/support/stated_memory.hpp
@@ -29,6 +29,7 @@
     }
     return allocated_ + free_ + file_bytes;
   }
+  Reserve reserve() const override { return stated_reserve; }
   void release_free_blocks() override {
     ++releases;
     if (returns_free_blocks) {
@@ -37,6 +38,7 @@
   }
 
   std::size_t file_bytes = 0;
+  Reserve stated_reserve;
   bool returns_free_blocks = true;
   bool is_resident_known = true;
   int releases = 0;  // number of calls of release_free_blocks()
