--- a/src/net/client/client_callbacks.hpp
+++ b/src/net/client/client_callbacks.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "net/client/request_validator.hpp"
+#include "net/client/session_close.hpp"
 #include "quota_gateway/time.hpp"
 
 namespace quota_gateway::net {
@@ -34,6 +35,10 @@
   // The client of a request has disconnected before its response was complete. Not called after
   // abort_response().
   std::function<void(std::uint64_t request)> on_client_disconnected;
+  // The gateway has closed the connection of a request before its response was complete.
+  // on_client_disconnected follows.
+  std::function<void(std::uint64_t request, const SessionClose& cause)> on_closed_unanswered =
+      [](std::uint64_t, const SessionClose&) {};
   // The body piece that request_body_piece() requested has arrived.
   std::function<void(std::uint64_t request, const std::string& piece, bool last)> on_body_piece;
   // The last byte of a body has arrived, though on_body_piece has not delivered all of it. From now
--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "net/client/socket_status.hpp"
+#include "net/event_loop/exception_guard.hpp"
 #include "net/system_call/register_descriptor.hpp"
 
 namespace quota_gateway::net {
@@ -31,7 +32,7 @@
       context_{*this, timers, clock, settings, memory, std::move(callbacks), limits.buffers},
       acceptor_(io),
       connections_(io, acceptor_, [this](tcp::socket socket) { on_accepted(std::move(socket)); }) {
-  enforce_timeouts();
+  timers_.every(kTimeoutCheckInterval, [this] { enforce_timeouts(); });
 }
 
 // ---- The listening socket
@@ -86,7 +87,7 @@
 }
 
 void ClientListener::on_accepted(tcp::socket socket) {
-  start_session(std::move(socket));
+  run_and_log_exceptions("clients", [&] { start_session(std::move(socket)); });
   if (evict_if_over_limit()) {
     accept();  // else on_session_closed() continues to accept
   }
@@ -140,7 +141,14 @@
   for (const auto& session : sessions_.snapshot()) {
     session->enforce_timeouts(now);
   }
-  timers_.after(kTimeoutCheckInterval, [this] { enforce_timeouts(); });
+}
+
+std::size_t ClientListener::resume() {
+  std::size_t resumed = sessions_.resume();
+  if (is_accepting_ && sessions_.size() <= max_clients_ && connections_.resume()) {
+    ++resumed;
+  }
+  return resumed;
 }
 
 bool ClientListener::check_connected(ClientId client) {
--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -86,6 +86,10 @@
   // being received or answered, or a client that may not have read its last response.
   bool is_idle();
 
+  // Takes up again what an exception has interrupted: accepting, and reading of sessions. Returns
+  // the number of these.
+  std::size_t resume();
+
  private:
   void on_session_closed(ClientId client) override;
   void on_session_idle() override;
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -11,6 +11,7 @@
 #include "net/client/health_check.hpp"
 #include "net/client/reset_after_delivery.hpp"
 #include "net/client/socket_status.hpp"
+#include "net/event_loop/exception_guard.hpp"
 #include "net/http/framing.hpp"
 #include "net/system_call/send_all.hpp"
 #include "net/system_call/send_queue.hpp"
@@ -47,6 +48,13 @@
 // Most of the memory that many clients fill is free again after this time.
 constexpr Micros kLackOfMemoryRetryAfter = 1'000'000;  // us
 
+// Responses for which no memory is needed.
+constexpr std::string_view kRejectedWithoutMemory =
+    "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+constexpr std::string_view kFailedWithoutMemory =
+    "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -67,11 +75,20 @@
   if (exceeds_read_ahead_limit()) {
     return watch_unread_input();
   }
-  is_reading_ = true;
   if (is_in(SessionState::kClosing)) {
-    return discard_input_until_closed(shared_from_this(), context_);
+    discard_input_until_closed(shared_from_this(), context_);
+  } else {
+    wait_readable(socket_, [this, self = shared_from_this()](error_code ec) {
+      run_step([this, ec] { on_readable(ec); });
+    });
   }
-  wait_readable(socket_, [this, self = shared_from_this()](error_code ec) { on_readable(ec); });
+  is_reading_ = true;
+}
+
+bool ClientSession::resume() {
+  const bool was_reading = is_reading_;
+  read();
+  return is_reading_ && !was_reading;
 }
 
 bool ClientSession::exceeds_read_ahead_limit() const {
@@ -141,12 +158,12 @@
   if (!is_in(SessionState::kAwaitingResponse) || is_watching_input_) {
     return;
   }
-  is_watching_input_ = true;
   context_.timers.after(kUnreadInputCheckInterval, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
-      self->check_unread_input();
+      self->run_step([&self] { self->check_unread_input(); });
     }
   });
+  is_watching_input_ = true;
 }
 
 void ClientSession::check_unread_input() {
@@ -237,7 +254,7 @@
   }
   wait_writable(socket_, [this, self = shared_from_this()](error_code wait_error) {
     if (!wait_error && !output_.interim_rest().empty()) {
-      send_interim_response();
+      run_step([this] { send_interim_response(); });
     }
   });
 }
@@ -298,10 +315,12 @@
   }
   activity_.on_body_piece_requested(context_.clock.now());
   asio::post(socket_.get_executor(), [this, self = shared_from_this()] {
-    if (activity_.awaits_body_piece()) {
-      deliver_body_piece();
-    }
-    read();
+    run_step([this] {
+      if (activity_.awaits_body_piece()) {
+        deliver_body_piece();
+      }
+      read();
+    });
   });
 }
 
@@ -340,14 +359,16 @@
   if (!is_in(SessionState::kAwaitingResponse)) {
     return;
   }
-  // If the request's body is incomplete, the session does not wait for the rest: it closes the
-  // connection after the response.
-  const bool body_cut_off = reader_.is_body_incomplete();
-  const ConnectionUse use = body_cut_off ? ConnectionUse::kClose : use_after_response();
-  request_.reset();
-  activity_.on_body_piece_settled();
-  reader_.end_message();
-  write_response(response, use);
+  run_step([&] {
+    // If the request's body is incomplete, the session does not wait for the rest: it closes the
+    // connection after the response.
+    const bool body_cut_off = reader_.is_body_incomplete();
+    const ConnectionUse use = body_cut_off ? ConnectionUse::kClose : use_after_response();
+    request_.reset();
+    activity_.on_body_piece_settled();
+    reader_.end_message();
+    write_response(response, use);
+  });
 }
 
 void ClientSession::reject(http::status status, const std::string& reason) {
@@ -387,8 +408,8 @@
 }
 
 void ClientSession::write_response(const ClientResponse& response, ConnectionUse connection_use) {
-  enter(SessionState::kWriting);
   output_.set_response(response, connection_use);
+  enter(SessionState::kWriting);
   write_output(&ClientSession::on_response_written);
 }
 
@@ -397,6 +418,11 @@
   if (!is_in(SessionState::kAwaitingResponse)) {
     return;
   }
+  run_step([&] { begin_stream(content_length, piece); });
+}
+
+void ClientSession::begin_stream(std::optional<std::uint64_t> content_length,
+                                 const std::string& piece) {
   const BodyDelimiter delimiter = choose_body_delimiter(content_length, reader_.version());
   const bool closes = delimiter == BodyDelimiter::kConnectionClose;
   const ConnectionUse use = closes ? ConnectionUse::kClose : use_after_response();
@@ -410,8 +436,10 @@
   if (!output_.is_streaming() || !is_in(SessionState::kWriting)) {
     return;
   }
-  output_.set_piece(std::move(piece));
-  write_piece();
+  run_step([&] {
+    output_.set_piece(std::move(piece));
+    write_piece();
+  });
 }
 
 void ClientSession::finish_response() {
@@ -419,8 +447,10 @@
     return;
   }
   request_.reset();
-  output_.end_stream();
-  write_output(&ClientSession::on_response_written);
+  run_step([this] {
+    output_.end_stream();
+    write_output(&ClientSession::on_response_written);
+  });
 }
 
 // A piece that is being written is written first.
@@ -431,7 +461,7 @@
   request_.reset();
   output_.abort_stream();
   if (activity_.awaits_response_piece()) {
-    reset_aborted();
+    run_step([this] { reset_aborted(); });
   }
 }
 
@@ -456,14 +486,18 @@
   send_all(
       socket_, output_.bytes(), [this] { return is_in(SessionState::kWriting); },
       [this, on_written, self = shared_from_this()](error_code ec, std::size_t /*sent*/) {
-        if (ec) {
-          return close(close_after_error(CloseReason::kWriteFailed, ec));
-        }
-        output_.release_memory();
-        (this->*on_written)();
+        run_step([this, on_written, ec] { on_output_written(on_written, ec); });
       });
 }
 
+void ClientSession::on_output_written(void (ClientSession::*on_written)(), error_code ec) {
+  if (ec) {
+    return close(close_after_error(CloseReason::kWriteFailed, ec));
+  }
+  output_.release_memory();
+  (this->*on_written)();
+}
+
 void ClientSession::on_piece_written() {
   if (!output_.is_streaming()) {
     return reset_aborted();
@@ -492,6 +526,39 @@
 
 // ---- Closing
 
+template <typename Step>
+void ClientSession::run_step(const Step& step) {
+  if (!run_and_log_exceptions("client session", step)) {
+    run_and_log_exceptions("client session", [this] { end_after_exception(); });
+  }
+}
+
+// What the step was to do next is known to nobody else, so the client gets an error. A response
+// that has begun can't be followed by one: its connection is reset.
+void ClientSession::end_after_exception() {
+  const bool is_untouched = is_in(SessionState::kIdle) && !reader_.has_input();
+  if (is_in(SessionState::kClosed) || is_in(SessionState::kClosing) || is_untouched) {
+    return;  // resume() or a time limit takes it up
+  }
+  if (is_in(SessionState::kWriting) || is_in(SessionState::kAborting)) {
+    set_reset_on_close(socket_);
+    return close({CloseReason::kInterrupted});
+  }
+  answer_without_memory();
+}
+
+// A request that was passed on may have run; one that was not may be repeated.
+void ClientSession::answer_without_memory() {
+  const auto request = std::exchange(request_, std::nullopt);
+  const bool may_have_run = is_in(SessionState::kAwaitingResponse);
+  error_code ignored;
+  send_some(socket_, may_have_run ? kFailedWithoutMemory : kRejectedWithoutMemory, ignored);
+  close_after_last_response();
+  if (request) {
+    context_.callbacks.on_client_disconnected(*request);
+  }
+}
+
 void ClientSession::close_after_last_response() {
   send_end_of_stream(socket_);
   reader_.discard_input();
@@ -546,6 +613,7 @@
   socket_.close(ignored);
   if (request_) {
     context_.unanswered_requests.on_closed(*request_, cause, context_.clock.now());
+    context_.callbacks.on_closed_unanswered(*request_, cause);
     context_.callbacks.on_client_disconnected(*request_);
   }
   context_.owner.on_session_closed(client_);
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -31,6 +31,8 @@
 
   // Starts the next read, unless one is pending or the session has buffered too much input.
   void read();
+  // Reads again if an exception has interrupted that. Returns whether it had.
+  bool resume();
 
   // See the functions of the same names in ClientListener. A call has no effect if the session is
   // in a state that doesn't allow it.
@@ -64,6 +66,12 @@
   bool has_unfinished_work(Micros now) const;
 
  private:
+  // Runs one step of a handler. After an exception the session ends with an error to its client.
+  template <typename Step>
+  void run_step(const Step& step);
+  void end_after_exception();
+  void answer_without_memory();
+
   bool is_in(SessionState state) const { return activity_.state() == state; }
   void enter(SessionState state) { activity_.enter(state, context_.clock.now()); }
   ConnectionUse use_after_response() const;
@@ -98,6 +106,8 @@
   void write_response(const ClientResponse& response, ConnectionUse connection_use);
   void write_piece();
   void write_output(void (ClientSession::*on_written)());
+  void begin_stream(std::optional<std::uint64_t> content_length, const std::string& piece);
+  void on_output_written(void (ClientSession::*on_written)(), boost::system::error_code ec);
   void on_piece_written();
   void on_response_written();
   void await_next_request();
--- a/src/net/client/session_close.cpp
+++ b/src/net/client/session_close.cpp
@@ -28,6 +28,8 @@
       return "the client sent or read nothing in time";
     case CloseReason::kResponseAborted:
       return "the server did not complete its response";
+    case CloseReason::kInterrupted:
+      return "an exception has interrupted the response, see the log line before";
     case CloseReason::kFinished:
       return "the last response was written";
     case CloseReason::kIdle:
--- a/src/net/client/session_close.hpp
+++ b/src/net/client/session_close.hpp
@@ -18,6 +18,7 @@
   kInvalidBody,      // the rest of a request's body is not HTTP
   kTimedOut,         // a time limit of SessionActivity has passed
   kResponseAborted,  // the server did not complete a response that has begun
+  kInterrupted,      // an exception, as for lack of memory, has interrupted a response
   kFinished,         // the last response was written
   kIdle,             // no request is open; closed to shut down or for other clients
 };
--- a/src/net/client/session_table.cpp
+++ b/src/net/client/session_table.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "net/event_loop/exception_guard.hpp"
+
 namespace quota_gateway::net {
 
 SessionTable::SessionPointer SessionTable::find(ClientId client) const {
@@ -53,6 +55,14 @@
   return idle_sessions > max_idle_sessions ? longest_idle : nullptr;
 }
 
+std::size_t SessionTable::resume() {
+  std::size_t resumed = 0;
+  for (const auto& entry : sessions_) {
+    run_and_log_exceptions("client session", [&] { resumed += entry.second->resume() ? 1 : 0; });
+  }
+  return resumed;
+}
+
 std::size_t SessionTable::allocated_input_bytes() const {
   std::size_t total = 0;
   for (const auto& [client, session] : sessions_) {
--- a/src/net/client/session_table.hpp
+++ b/src/net/client/session_table.hpp
@@ -34,6 +34,9 @@
   // sessions are idle between requests; else null.
   SessionPointer find_surplus_idle(std::size_t max_idle_sessions) const;
 
+  // Makes sessions whose reading an exception has interrupted read again. Returns their number.
+  std::size_t resume();
+
   // Total number of bytes for which all sessions hold memory for their input.
   std::size_t allocated_input_bytes() const;
   // Whether any session has unfinished work, see ClientSession.
--- a/src/net/counter/counter_client.cpp
+++ b/src/net/counter/counter_client.cpp
@@ -1,6 +1,7 @@
 #include "net/counter/counter_client.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 #include <cmath>
 #include <string>
@@ -8,6 +9,7 @@
 #include <vector>
 
 #include "net/counter/counter_liveness.hpp"
+#include "net/event_loop/exception_guard.hpp"
 #include "net/system_call/send_all.hpp"
 #include "net/system_call/socket_wait.hpp"
 
@@ -19,6 +21,8 @@
 using boost::system::error_code;
 using Reason = CounterDisconnectReason;
 
+// A timer that is later than this does not fire by itself.
+constexpr Micros kOverdueAfter = 100'000;           // us
 constexpr Micros kLivenessCheckInterval = 100'000;  // us
 constexpr std::size_t kMaxCallsInFlight = 4096;
 // Valid replies are much shorter.
@@ -40,7 +44,7 @@
 
 void CounterClient::start() {
   connect();
-  check_liveness();
+  check_liveness(liveness_check_at_);
 }
 
 // The counter may already have executed calls in flight, and only the current connection can
@@ -64,8 +68,31 @@
 
 void CounterClient::connect() {
   const Generation generation = ++connection_generation_;
+  reconnect_at_.reset();
   state_ = State::kConnecting;
   last_received_at_ = clock_.now();
+  if (!run_and_log_exceptions("counter", [&] { begin_connection(generation); })) {
+    disconnect({Reason::kSocketError, asio::error::no_memory});
+  }
+}
+
+bool CounterClient::resume() {
+  const Micros overdue_since = clock_.now() - kOverdueAfter;
+  if (closing_) {
+    return false;
+  }
+  if (reconnect_at_ && *reconnect_at_ < overdue_since) {
+    connect();
+    return true;
+  }
+  if (liveness_check_at_ < overdue_since) {
+    check_liveness(liveness_check_at_);
+    return true;
+  }
+  return false;
+}
+
+void CounterClient::begin_connection(Generation generation) {
   parser_.emplace();
   socket_ = tcp::socket(io_);
   connect_socket(socket_, address_, [this, self = shared_from_this(), generation](error_code ec) {
@@ -109,12 +136,13 @@
 }
 
 void CounterClient::reconnect_after_backoff(Micros now) {
-  timers_.after(backoff_.next(now),
-                [this, self = shared_from_this(), generation = connection_generation_] {
-                  if (generation == connection_generation_ && !closing_) {
-                    connect();
-                  }
-                });
+  const Micros wait = backoff_.next(now);
+  reconnect_at_ = now + wait;
+  timers_.after(wait, [this, self = shared_from_this(), generation = connection_generation_] {
+    if (generation == connection_generation_ && !closing_) {
+      connect();
+    }
+  });
 }
 
 // Calls.
@@ -194,9 +222,14 @@
                             if (ec) {
                               return disconnect({Reason::kSocketError, ec});
                             }
-                            on_received(size);
-                            if (generation == connection_generation_) {
-                              read();
+                            const bool is_read = run_and_log_exceptions("counter", [&] {
+                              on_received(size);
+                              if (generation == connection_generation_) {
+                                read();
+                              }
+                            });
+                            if (!is_read && generation == connection_generation_) {
+                              disconnect({Reason::kSocketError, asio::error::no_memory});
                             }
                           });
 }
@@ -259,7 +292,10 @@
 
 // Pings the counter on an idle connection, and ends a connection on which the counter has stopped
 // responding.
-void CounterClient::check_liveness() {
+void CounterClient::check_liveness(Micros due) {
+  if (due != liveness_check_at_) {
+    return;  // resume() has made this check
+  }
   if (closing_ && state_ == State::kDisconnected) {
     return;
   }
@@ -278,7 +314,9 @@
         break;
     }
   }
-  timers_.after(kLivenessCheckInterval, [this, self = shared_from_this()] { check_liveness(); });
+  const Micros next = clock_.now() + kLivenessCheckInterval;
+  liveness_check_at_ = next;
+  timers_.at(next, [this, self = shared_from_this(), next] { check_liveness(next); });
 }
 
 void CounterClient::send_ping() {
--- a/src/net/counter/counter_client.hpp
+++ b/src/net/counter/counter_client.hpp
@@ -48,12 +48,17 @@
   // have timed out. The client does not reconnect after this.
   void close_when_idle();
 
+  // Reconnects or checks the connection if an exception has prevented the timer for that. Returns
+  // whether it had.
+  bool resume();
+
  private:
   enum class State { kDisconnected, kConnecting, kConnected };
   // Increases when a connection begins or ends. A handler of an earlier generation must do nothing.
   using Generation = int;
 
   void connect();
+  void begin_connection(Generation generation);
   void on_connected(boost::system::error_code ec);
   void reconnect_after_backoff(Micros now);
   void disconnect(const CounterDisconnect& cause);
@@ -72,7 +77,7 @@
   // Reports the outcome of a call unless it is a ping or was reported before.
   void finish(const CounterCall& call, CounterOutcome outcome, double total = 0);
 
-  void check_liveness();
+  void check_liveness(Micros due);
   void send_ping();
 
   boost::asio::io_context& io_;
@@ -94,6 +99,9 @@
   // Whether close_when_idle() was called.
   bool closing_ = false;
   Generation connection_generation_ = 0;
+  // When the next connection begins, while there is none.
+  std::optional<Micros> reconnect_at_;
+  Micros liveness_check_at_ = 0;  // when the next one is due
   // Time at which bytes were last received, or at which connecting last started or succeeded.
   Micros last_received_at_ = 0;
   CounterBackoff backoff_;
--- a/src/net/discovery/discovery_client.cpp
+++ b/src/net/discovery/discovery_client.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "net/discovery/json_scanner.hpp"
+#include "net/event_loop/exception_guard.hpp"
 #include "net/system_call/send_all.hpp"
 #include "net/system_call/socket_wait.hpp"
 
@@ -69,6 +70,27 @@
 void DiscoveryClient::connect() {
   const Generation generation = ++connection_generation_;
   const Micros now = clock_.now();
+  reconnect_at_.reset();
+  silence_check_at_ = now;
+  if (!run_and_log_exceptions("discovery", [&] { begin_connection(generation, now); })) {
+    disconnect({Reason::kConnectionFailed, ""});
+  }
+}
+
+bool DiscoveryClient::resume() {
+  const Micros overdue_since = clock_.now() - kMaxTimerDelay;
+  if (reconnect_at_ && *reconnect_at_ < overdue_since) {
+    connect();
+    return true;
+  }
+  if (!reconnect_at_ && connection_generation_ > 0 && silence_check_at_ < overdue_since) {
+    check_silence(connection_generation_, silence_check_at_);
+    return true;
+  }
+  return false;
+}
+
+void DiscoveryClient::begin_connection(Generation generation, Micros now) {
   liveness_.on_connecting(now);
   check_silence(generation, now);
   intake_.abandon();
@@ -123,9 +145,14 @@
                               disconnect({Reason::kConnectionFailed, ec.message()});
                               return;
                             }
-                            on_read(size);
-                            if (generation == connection_generation_) {
-                              read(generation);
+                            const bool is_read = run_and_log_exceptions("discovery", [&] {
+                              on_read(size);
+                              if (generation == connection_generation_) {
+                                read(generation);
+                              }
+                            });
+                            if (!is_read && generation == connection_generation_) {
+                              disconnect({Reason::kConnectionFailed, ""});
                             }
                           });
 }
@@ -239,7 +266,7 @@
 // ---- Liveness
 
 void DiscoveryClient::check_silence(Generation generation, Micros due) {
-  if (generation != connection_generation_) {
+  if (generation != connection_generation_ || due != silence_check_at_) {
     return;
   }
   const std::optional<Micros> next = liveness_.check(clock_.now(), due);
@@ -247,6 +274,7 @@
     disconnect({Reason::kSilent, "the watch is silent"});
     return;
   }
+  silence_check_at_ = *next;
   timers_.at(*next, [this, generation, next = *next] { check_silence(generation, next); });
 }
 
@@ -279,6 +307,7 @@
   request_complete_list_ = request_complete_list_ || needs_complete_list(cause.reason);
   const Micros now = clock_.now();
   const Micros wait = reconnect_wait(cause, now);
+  reconnect_at_ = now + wait;
   outage_log_.on_disconnected(cause, revision_, now);
   timers_.after(wait, [this, generation] {
     if (generation == connection_generation_) {
--- a/src/net/discovery/discovery_client.hpp
+++ b/src/net/discovery/discovery_client.hpp
@@ -57,11 +57,16 @@
   // new agent has sent a list. Must not be called from within a callback.
   void switch_agent(boost::asio::ip::tcp::endpoint agent);
 
+  // Reconnects or checks the watch if an exception has prevented the timer for that. Returns
+  // whether it had.
+  bool resume();
+
  private:
   // Incremented by each connect and disconnect. Handlers of earlier generations do nothing.
   using Generation = int;
 
   void connect();
+  void begin_connection(Generation generation, Micros now);
   void send_request(Generation generation);
   void read(Generation generation);
   void on_read(std::size_t size);
@@ -97,6 +102,11 @@
   // revision_.
   bool agent_changed_ = false;
 
+  // When the next connection begins, while there is none.
+  std::optional<Micros> reconnect_at_;
+  // When the next check for silence is due, while there is a connection.
+  Micros silence_check_at_ = 0;
+
   // State of the current connection.
   Generation connection_generation_ = 0;
   boost::asio::ip::tcp::socket socket_;
--- a/src/net/event_loop/timers.hpp
+++ b/src/net/event_loop/timers.hpp
@@ -15,9 +15,9 @@
 
 namespace quota_gateway::net {
 
-// Each callback runs at most once, from the event loop. Times are not rounded: rounding them up to
-// a multiple of 10 ms would save wake-ups, but requests then left the hold queue late, which
-// lowered the score of an overloaded day by 0.013.
+// Each callback runs to its end at most once, from the event loop. Times are not rounded: rounding
+// them up to a multiple of 10 ms would save wake-ups, but requests then left the hold queue late,
+// which lowered the score of an overloaded day by 0.013.
 class Timers {
   // Timers with equal times run in the order in which they were set.
   struct Key {
@@ -59,26 +59,46 @@
   // Calls `callback` when the clock reaches `when`, or in the next iteration of the event loop if
   // that time has passed. Callbacks run in the order of their times; callbacks with equal times run
   // in the order in which they were set. May be called from within a callback. An exception of a
-  // callback is logged and doesn't affect other callbacks. The timer can't be cancelled; the
-  // callback must check whether it is still needed.
+  // callback is logged and doesn't affect other callbacks; the callback is called again after 10
+  // ms, 20 times at most. The timer can't be cancelled; the callback must check whether it is still
+  // needed.
   void at(Micros when, std::function<void()> callback);
   // Calls `callback` once `delay` has passed, see at().
   void after(Micros delay, std::function<void()> callback);
+  // Calls `callback` every `interval` from now on, first once it has passed. Goes on whatever an
+  // exception or a lack of memory prevents: the timer is set again before each call.
+  void every(Micros interval, std::function<void()> callback);
   // Like at(), for a timer that its owner may cancel.
   [[nodiscard]] Handle cancellable_at(Micros when, std::function<void()> callback);
 
   // Number of timers that have neither fired nor been cancelled.
-  std::size_t size() const { return pending_.size(); }
+  std::size_t size() const { return pending_.size() + due_.size(); }
+
+  // Takes up again what an exception has prevented: runs the timers that are overdue and makes sure
+  // that the event loop wakes up for the others. Returns whether there was something to take up.
+  bool resume();
 
  private:
-  Key add(Micros when, std::function<void()> callback);
+  struct Timer {
+    std::function<void()> callback;
+    Micros interval = 0;  // 0: the timer fires once
+    int failures = 0;     // calls that an exception has ended
+  };
+  using Schedule = std::map<Key, Timer>;
+
+  Key add(Micros when, Timer timer);
   void schedule_wakeup();
   void run_due();
+  void run(Schedule::node_type node);
+  void run_once(Schedule::node_type node);
 
   const Clock& clock_;
   boost::asio::steady_timer wakeup_;
-  std::map<Key, std::function<void()>> pending_;
+  Schedule pending_;
+  Schedule due_;  // fire now, before any timer that is set meanwhile
   std::uint64_t last_sequence_number_ = 0;
+  // No wake-up comes before this time, so that what has failed is not called at once again.
+  Micros retry_at_ = 0;
   std::optional<Micros> wakeup_at_;  // nullopt if no wake-up is pending
 };
 
--- a/src/net/memory/allocation_counter.cpp
+++ b/src/net/memory/allocation_counter.cpp
@@ -4,6 +4,7 @@
 #include <malloc.h>
 #include <sys/mman.h>
 
+#include <array>
 #include <atomic>
 #include <cstdlib>
 #include <ctime>
@@ -59,9 +60,10 @@
 // Never destroyed, since operators may be called until the process ends.
 std::optional<MemoryReserve>& reserve() {
   static auto& instance = *[] {
-    alignas(std::optional<MemoryReserve>) static std::byte storage[sizeof(
-        std::optional<MemoryReserve>)];  // NOLINT(modernize-avoid-c-arrays): raw storage
-    return new (storage) std::optional<MemoryReserve>();
+    alignas(std::optional<MemoryReserve>) static std::array<std::byte,
+                                                            sizeof(std::optional<MemoryReserve>)>
+        storage;
+    return new (storage.data()) std::optional<MemoryReserve>();
   }();
   return instance;
 }
--- a/src/net/memory/memory_monitor.cpp
+++ b/src/net/memory/memory_monitor.cpp
@@ -14,13 +14,13 @@
     : timers_(timers), clock_(clock), budget_(budget) {
   if (budget_.limit_bytes() > 0) {
     check();
+    timers_.every(kCheckInterval, [this] { check(); });
   }
 }
 
 void MemoryMonitor::check() {
   budget_.release_free_blocks();
   log_rejections();
-  timers_.after(kCheckInterval, [this] { check(); });
 }
 
 void MemoryMonitor::log_rejections() {
--- a/src/net/server/action_executor.hpp
+++ b/src/net/server/action_executor.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 
 #include "net/counter/counter_client.hpp"
 #include "net/event_loop/event_loop.hpp"
@@ -18,9 +19,14 @@
 
   void execute(const Action& action);
 
+  // Ends a request that the decision module has lost by an exception, see RequestDispatcher.
+  void end_undecided(const std::string& id) { dispatcher_.end_undecided(id); }
+
   // Sends all further additions to `counter`. If it is null, each addition is reported as not made.
   // The previous counter client finishes its pending calls and closes.
   void use_counter(std::shared_ptr<CounterClient> counter);
+  // See CounterClient::resume().
+  bool resume_counter() { return counter_ && counter_->resume(); }
 
  private:
   void perform(const SendAttempt& action);
--- a/src/net/server/attempt_reporter.cpp
+++ b/src/net/server/attempt_reporter.cpp
@@ -11,6 +11,26 @@
   return result;
 }
 
+namespace {
+
+bool may_have_run(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kOk:
+    case Outcome::kError:
+    case Outcome::kTimeout:
+    case Outcome::kReset:
+    case Outcome::kCancelled:
+      return true;
+    case Outcome::kOverloaded:
+    case Outcome::kConnectFailed:
+    case Outcome::kNotSent:
+      return false;
+  }
+  return true;
+}
+
+}  // namespace
+
 AttemptReporter::AttemptReporter(EventLoop loop, RequestTable& requests, EventBatcher& events)
     : loop_(loop), requests_(requests), events_(events) {}
 
@@ -20,6 +40,7 @@
   Attempt& attempt = request.attempt(key.attempt);
   attempt.in_flight = false;
   --request.attempts_in_flight;
+  request.has_run = request.has_run || may_have_run(result.outcome);
   request.last_attempt_timed_out = result.outcome == Outcome::kTimeout;
   AttemptCompleted completed;
   completed.id = std::to_string(key.request);
--- a/src/net/server/event_batcher.hpp
+++ b/src/net/server/event_batcher.hpp
@@ -21,8 +21,15 @@
   // the actions of a batch are executed; the event then belongs to the next batch.
   void push(Event event);
 
+  // Passes on events whose delivery an exception has prevented. Returns whether there were any.
+  bool resume();
+
  private:
   void flush();
+  // The module or one of the actions has thrown an exception: nobody may wait for what was lost.
+  void recover_batch(std::vector<Event>& events, const std::vector<Action>& actions);
+  void recover_event(Event& event, const std::vector<Action>& actions);
+  void recover_action(const Action& action);
 
   EventLoop loop_;
   Gateway& gateway_;
--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -4,6 +4,8 @@
 #include <memory>
 #include <utility>
 
+#include "net/event_loop/exception_guard.hpp"
+
 namespace quota_gateway::net {
 namespace {
 
@@ -75,7 +77,7 @@
                  expiry_callback()),
       streamer_(clock_, {requests_, pool_, clients_, events_, finisher_, reporter_, deadlines_}),
       dispatcher_(loop_, {settings_, requests_, pool_, clients_, events_, stats_, finisher_,
-                          reporter_, deadlines_, streamer_, endpoint_lists_}),
+                          reporter_, deadlines_, streamer_, guard_, endpoint_lists_}),
       endpoint_lists_(loop_, pool_, events_, std::move(config.persisted_endpoints),
                       endpoint_list_callbacks()),
       pool_(io, timers_, clock_, pool_limits(config), attempt_events()),
@@ -133,6 +135,9 @@
   callbacks.on_client_disconnected = [this](std::uint64_t id) {
     dispatcher_.on_client_disconnect(id);
   };
+  callbacks.on_closed_unanswered = [this](std::uint64_t id, const SessionClose& cause) {
+    guard_.on_closed(id, cause);
+  };
   callbacks.on_body_piece = [this](std::uint64_t id, const std::string& piece, bool is_last) {
     streamer_.on_body_piece(id, piece, is_last);
   };
@@ -196,6 +201,20 @@
   counter->start();
 }
 
+void GatewayServer::resume_work() {
+  std::size_t resumed = 0;
+  const auto resume = [&resumed](const auto& step) {
+    run_and_log_exceptions("resuming work", [&] { resumed += step(); });
+  };
+  resume([this] { return std::size_t(timers_.resume()); });
+  resume([this] { return std::size_t(events_.resume()); });
+  resume([this] { return clients_.resume(); });
+  resume([this] { return deadlines_.resume(); });
+  resume([this] { return std::size_t(discovery_.resume()); });
+  resume([this] { return std::size_t(executor_.resume_counter()); });
+  stats_.on_work_resumed(resumed);
+}
+
 void GatewayServer::drain(std::function<void()> on_drained) {
   shutdown_.start(settings_.classes, std::move(on_drained));
 }
@@ -218,7 +237,7 @@
   memory.refused_allocations = memory_.refused_allocations();
   memory.failed_allocations = memory_.failed_allocations();
   memory.reserve_used_bytes = memory_.reserve().used_bytes;
-  return stats_.render(endpoints, upstream, memory);
+  return stats_.render(endpoints, upstream, memory, guard_.violations());
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/server/gateway_server.hpp
+++ b/src/net/server/gateway_server.hpp
@@ -27,6 +27,7 @@
 #include "net/server/request_deadlines.hpp"
 #include "net/server/request_dispatcher.hpp"
 #include "net/server/request_finisher.hpp"
+#include "net/server/request_guard.hpp"
 #include "net/server/request_table.hpp"
 #include "net/server/shutdown_coordinator.hpp"
 #include "net/upstream/connection_pool.hpp"
@@ -53,6 +54,9 @@
   void on_reload_rejected();
   // Shuts down gracefully: continues to accept clients, answers every request before the process
   // may be killed, then calls `on_drained` once.
+  // Takes up what an exception has interrupted, and counts it. Called at intervals, by no handler
+  // of the event loop.
+  void resume_work();
   void drain(std::function<void()> on_drained);
 
   // Whether the gateway serves clients: it accepts them, is not shutting down, and its first
@@ -84,6 +88,7 @@
   ActionExecutor executor_;
   RequestFinisher finisher_;
   AttemptReporter reporter_;
+  RequestGuard guard_;
   RequestDeadlines deadlines_;
   MessageStreamer streamer_;
   RequestDispatcher dispatcher_;
--- a/src/net/server/gateway_stats.hpp
+++ b/src/net/server/gateway_stats.hpp
@@ -63,16 +63,19 @@
   void on_request_finished(ResponseCounts& counts, RequestOutcome outcome);
   // Counts an attempt, once the last byte of its request has been written.
   void on_attempt_written();
+  // Work was taken up again that an exception had interrupted.
+  void on_work_resumed(std::size_t count) { resumed_work_ += count; }
   void on_reload(ReloadResult result);
 
   // All metrics, one line each: `app.NAME=VALUE`.
   std::string render(const EndpointCounts& endpoints, const UpstreamCounts& upstream,
-                     const MemoryCounts& memory) const;
+                     const MemoryCounts& memory, std::uint64_t violations) const;
 
  private:
   std::map<std::string, ResponseCounts> responses_by_class_;
   std::uint64_t requests_in_progress_ = 0;
   std::uint64_t attempts_written_ = 0;
+  std::uint64_t resumed_work_ = 0;
   std::uint64_t reloads_applied_ = 0;
   std::uint64_t reloads_rejected_ = 0;
 };
--- a/src/net/server/main.cpp
+++ b/src/net/server/main.cpp
@@ -1,5 +1,6 @@
 // The gateway program: reads its configuration, then serves clients until SIGTERM or SIGINT.
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstddef>
 #include <exception>
@@ -9,6 +10,7 @@
 #include <utility>
 
 #include "net/config/config_loader.hpp"
+#include "net/event_loop/exception_guard.hpp"
 #include "net/memory/system_memory.hpp"
 #include "net/server/config_reloader.hpp"
 #include "net/server/config_source.hpp"
@@ -20,16 +22,16 @@
 
 constexpr std::size_t kBytesPerMegabyte = 1 << 20;
 
+// The server takes up what an exception has interrupted at this interval at the latest.
+constexpr std::chrono::milliseconds kResumeInterval{100};
+
 // Logs an exception that leaves a handler and continues: it would otherwise end the process with
-// all requests in flight.
-void run_until_stopped(boost::asio::io_context& io) {
-  while (true) {
-    try {
-      io.run();
-      return;
-    } catch (const std::exception& e) {
-      std::cerr << "exception in the event loop: " << e.what() << '\n';
-    }
+// all requests in flight. This loop and not a handler looks for interrupted work, since no
+// exception and no lack of memory ends it.
+void run_until_stopped(boost::asio::io_context& io, GatewayServer& server) {
+  while (!io.stopped()) {
+    run_and_log_exceptions("exception in the event loop", [&] { io.run_for(kResumeInterval); });
+    run_and_log_exceptions("resuming work", [&] { server.resume_work(); });
   }
 }
 
@@ -51,7 +53,7 @@
   };
   signals.start({drain, [&reloader] { reloader.start(); }});
   std::cerr << name << ": ready\n";
-  run_until_stopped(io);
+  run_until_stopped(io, server);
 }
 
 }  // namespace
--- a/src/net/server/request_deadlines.cpp
+++ b/src/net/server/request_deadlines.cpp
@@ -7,6 +7,12 @@
 #include <vector>
 
 namespace quota_gateway::net {
+namespace {
+
+// A check that is later than this does not come by itself.
+constexpr Micros kOverdueAfter = 100'000;  // us
+
+}  // namespace
 
 RequestDeadlines::RequestDeadlines(
     EventLoop loop, Collaborators collaborators,
@@ -117,6 +123,21 @@
   }
 }
 
+std::size_t RequestDeadlines::resume() {
+  const Micros now = loop_.clock.now();
+  std::vector<std::uint64_t> overdue;
+  for (const auto& [id, request] : requests_) {
+    const bool is_open = !request.finished && !request.response_started && request.body_arrived;
+    if (is_open && request.deadline + kDecisionGrace + kOverdueAfter < now) {
+      overdue.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : overdue) {
+    fail_without_decision(id);
+  }
+  return overdue.size();
+}
+
 void RequestDeadlines::set_latest_deadline(Micros latest) {
   latest_deadline_ = latest;
 }
--- a/src/net/server/request_deadlines.hpp
+++ b/src/net/server/request_deadlines.hpp
@@ -3,6 +3,7 @@
 // GatewayServer.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -63,6 +64,10 @@
   // begun.
   void limit_by_following_request(std::uint64_t id, Micros end);
 
+  // Answers the requests whose decision check is overdue, which an exception may have prevented.
+  // Returns their number.
+  std::size_t resume();
+
   // ---- For the shutdown
   // Limits every deadline that is set from now on to `latest`.
   void set_latest_deadline(Micros latest);
--- a/src/net/server/request_dispatcher.cpp
+++ b/src/net/server/request_dispatcher.cpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <utility>
 
+#include "net/event_loop/exception_guard.hpp"
+
 namespace quota_gateway::net {
 namespace {
 
@@ -36,6 +38,7 @@
       reporter_(collaborators.reporter),
       deadlines_(collaborators.deadlines),
       streamer_(collaborators.streamer),
+      guard_(collaborators.guard),
       endpoint_lists_(collaborators.endpoint_lists) {}
 
 // ---- From the client connections
@@ -47,9 +50,17 @@
     return std::nullopt;
   }
   const std::uint64_t id = added->id;
+  if (!run_and_log_exceptions("request",
+                              [&] { accept(id, added->request, client, std::move(accepted)); })) {
+    boost::asio::post(loop_.io, [this, id] { end_undecided(std::to_string(id)); });
+  }
+  return id;
+}
+
+void RequestDispatcher::accept(std::uint64_t id, Request& request, ClientId client,
+                               ClientRequest accepted) {
   const Micros now = loop_.clock.now();
   RequestArrived& arrived = accepted.arrived;
-  Request& request = added->request;
   request.client = client;
   request.idempotent = accepted.idempotent;
   request.response_counts = &stats_.on_request_started(arrived.request_class);
@@ -65,8 +76,7 @@
   arrived.deadline = request.deadline;
   arrived.body_pending = !request.body_complete;
   if (request.deadline <= now) {
-    boost::asio::post(loop_.io, [this, id] { reject_overdue(id); });
-    return id;
+    return boost::asio::post(loop_.io, [this, id] { reject_overdue(id); });
   }
   if (request.body_complete) {
     deadlines_.schedule_decision_check(request, id, request.deadline);
@@ -76,7 +86,6 @@
   } else {
     events_.push(std::move(arrived));
   }
-  return id;
 }
 
 // The request waited behind another one on its connection, or the process is about to end. It never
@@ -146,7 +155,7 @@
 bool RequestDispatcher::may_begin_attempt(AttemptKey key) {
   const auto entry = requests_.find(key.request);
   return entry != requests_.end() && !entry->second.finished &&
-         clients_.check_connected(entry->second.client);
+         guard_.may_begin(entry->second, key) && clients_.check_connected(entry->second.client);
 }
 
 void RequestDispatcher::on_attempt_written(AttemptKey key) {
@@ -232,6 +241,28 @@
   requests_.remove_if_done(entry);
 }
 
+void RequestDispatcher::end_undecided(const std::string& id) {
+  const auto entry = requests_.find(id);
+  if (entry == requests_.end() || entry->second.finished || entry->second.response_started) {
+    return;
+  }
+  Request& request = entry->second;
+  if (request.attempts_in_flight > 0 &&
+      request.attempt(request.latest_attempt()).handle.has_connection()) {
+    return;
+  }
+  ClientResponse response;
+  response.status =
+      int(request.may_have_run ? http::status::bad_gateway : http::status::service_unavailable);
+  request.attempts_in_flight = 0;
+  for (Attempt& attempt : request.attempts) {
+    attempt.in_flight = false;
+  }
+  finisher_.answer(request, response);
+  requests_.remove_if_done(entry);
+  events_.push(ClientDisconnected{id});
+}
+
 void RequestDispatcher::fail(const Fail& action) {
   const auto entry = requests_.find(action.id);
   if (entry != requests_.end()) {
--- a/src/net/server/request_dispatcher.hpp
+++ b/src/net/server/request_dispatcher.hpp
@@ -18,6 +18,7 @@
 #include "net/server/message_streamer.hpp"
 #include "net/server/request_deadlines.hpp"
 #include "net/server/request_finisher.hpp"
+#include "net/server/request_guard.hpp"
 #include "net/server/request_table.hpp"
 #include "net/upstream/connection_pool.hpp"
 #include "quota_gateway/gateway.hpp"
@@ -39,6 +40,7 @@
     AttemptReporter& reporter;
     RequestDeadlines& deadlines;
     MessageStreamer& streamer;
+    RequestGuard& guard;
     const EndpointListApplier& endpoint_lists;
   };
   RequestDispatcher(EventLoop loop, Collaborators collaborators);
@@ -66,6 +68,10 @@
   void reject(const Reject& action);
   void fail(const Fail& action);
 
+  // An exception has interrupted the decision about the request, or its execution. Answers the
+  // client at once, 503 if no attempt was written, unless an attempt in flight goes on.
+  void end_undecided(const std::string& id);
+
   // Passes on to the decision module the requests that were held until the endpoint list was
   // applied.
   void release_held_requests();
@@ -76,6 +82,8 @@
     RequestArrived arrived;
   };
 
+  // What on_client_request() does with a request that was added to the table.
+  void accept(std::uint64_t id, Request& request, ClientId client, ClientRequest accepted);
   // Rejects a request whose time was over before it was accepted.
   void reject_overdue(std::uint64_t id);
   // Whether the attempt that was just added to the request may be sent.
@@ -92,6 +100,7 @@
   AttemptReporter& reporter_;
   RequestDeadlines& deadlines_;
   MessageStreamer& streamer_;
+  RequestGuard& guard_;
   const EndpointListApplier& endpoint_lists_;
   std::vector<HeldRequest> held_for_endpoint_list_;
 };
--- a/src/net/server/request_finisher.cpp
+++ b/src/net/server/request_finisher.cpp
@@ -30,7 +30,9 @@
     return false;
   }
   request.finished = true;
-  stats_.on_request_finished(*request.response_counts, outcome);
+  if (request.response_counts != nullptr) {  // else an exception has prevented the count
+    stats_.on_request_finished(*request.response_counts, outcome);
+  }
   return true;
 }
 
--- a/src/net/server/request_table.cpp
+++ b/src/net/server/request_table.cpp
@@ -7,11 +7,18 @@
 
 std::optional<RequestTable::Added> RequestTable::add(const std::string& trace_id) {
   // A server would treat a second request with the trace id of an open one as a duplicate of it.
-  if (used_trace_ids_.contains(trace_id) || !open_trace_ids_.insert(trace_id).second) {
+  if (used_trace_ids_.contains(trace_id) || open_trace_ids_.contains(trace_id)) {
     return std::nullopt;
   }
   const std::uint64_t id = ++last_id_;
-  return Added{id, requests_[id]};
+  const auto added = requests_.try_emplace(id).first;
+  try {
+    open_trace_ids_.insert(trace_id);
+  } catch (...) {
+    requests_.erase(added);
+    throw;
+  }
+  return Added{id, added->second};
 }
 
 RequestTable::Iterator RequestTable::find(const std::string& decimal_id) {
--- a/src/net/system_call/connection_acceptor.cpp
+++ b/src/net/system_call/connection_acceptor.cpp
@@ -37,11 +37,23 @@
   }
   error_code ignored;
   acceptor_.non_blocking(true, ignored);
-  is_waiting_ = true;
   wait_readable(acceptor_, [this](error_code ec) {
     is_waiting_ = false;
     on_readable(ec);
   });
+  is_waiting_ = true;
+}
+
+bool ConnectionAcceptor::resume() {
+  if (is_waiting_ || is_stopped_ || !acceptor_.is_open()) {
+    return false;
+  }
+  if (unregistered_.is_open()) {
+    register_connection();
+  } else {
+    accept_next();
+  }
+  return true;
 }
 
 void ConnectionAcceptor::stop() {
@@ -91,7 +103,6 @@
 
 void ConnectionAcceptor::call_after(std::chrono::milliseconds delay,
                                     void (ConnectionAcceptor::*step)()) {
-  is_waiting_ = true;
   timer_.expires_after(delay);
   timer_.async_wait([this, step](error_code ec) {
     is_waiting_ = false;
@@ -99,6 +110,7 @@
       (this->*step)();
     }
   });
+  is_waiting_ = true;
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/system_call/connection_acceptor.hpp
+++ b/src/net/system_call/connection_acceptor.hpp
@@ -25,6 +25,8 @@
   void accept_next();
   // Accepts no connection until the next accept_next().
   void stop();
+  // Takes up accepting again if an exception has interrupted it. Returns whether it had.
+  bool resume();
   // Whether a connection was accepted and not passed on yet.
   bool has_pending_connection() const { return unregistered_.is_open(); }
 
--- a/src/net/upstream/attempt_runner.cpp
+++ b/src/net/upstream/attempt_runner.cpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <utility>
 
+#include "net/event_loop/exception_guard.hpp"
 #include "net/system_call/send_queue.hpp"
 #include "net/system_call/socket_io.hpp"
 #include "net/system_call/socket_wait.hpp"
@@ -237,8 +238,11 @@
 
 void AttemptRunner::await_writable(const ConnectionPtr& connection) {
   wait_writable(connection->socket, [this, connection, key = connection->attempt](error_code) {
-    if (connection->state == State::kWriting && connection->attempt == key) {
-      on_writable(connection);
+    if (connection->state != State::kWriting || connection->attempt != key) {
+      return;
+    }
+    if (!run_and_log_exceptions("attempt", [&] { on_writable(connection); })) {
+      on_broken(connection);
     }
   });
 }
--- a/src/net/upstream/connection_pool.cpp
+++ b/src/net/upstream/connection_pool.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <utility>
 
+#include "net/event_loop/exception_guard.hpp"
 #include "net/system_call/socket_wait.hpp"
 
 namespace quota_gateway::net {
@@ -32,7 +33,7 @@
       limits_(limits),
       idle_reuse_(limits.server_idle_timeout),
       attempts_(io, timers, clock, limits.buffers, std::move(events), connection_events()) {
-  close_expired();
+  timers_.every(kExpiryInterval, [this] { close_expired(); });
 }
 
 ConnectionPool::~ConnectionPool() = default;
@@ -155,7 +156,10 @@
     if (ec) {
       return attempts_.fail(connection, Outcome::kConnectFailed);
     }
-    on_connected(connection);
+    if (!run_and_log_exceptions("attempt", [&] { on_connected(connection); }) &&
+        connection->state != State::kClosed) {
+      attempts_.fail(connection, Outcome::kConnectFailed);
+    }
   });
   const std::weak_ptr<UpstreamConnection> weak = connection;
   timers_.after(limits_.connect_timeout, [this, weak] {
@@ -273,7 +277,6 @@
   for (const ConnectionPtr& connection : idle_.idle_since(clock_.now() - idle_reuse_.max_idle())) {
     close(*connection);
   }
-  timers_.after(kExpiryInterval, [this] { close_expired(); });
 }
 
 void ConnectionPool::close(UpstreamConnection& connection) {
--- a/src/net/upstream/connection_pool.hpp
+++ b/src/net/upstream/connection_pool.hpp
@@ -124,7 +124,7 @@
   // Closes the connection that has been idle longest. Returns false if none is idle.
   bool close_oldest_idle();
   void close_idle_to(const std::string& server);
-  // Closes connections that have been idle for too long, and schedules its next run.
+  // Closes connections that have been idle for too long.
   void close_expired();
 
   boost::asio::io_context& io_;
--- a/src/net/upstream/response_reader.cpp
+++ b/src/net/upstream/response_reader.cpp
@@ -11,6 +11,7 @@
 #include <span>
 #include <utility>
 
+#include "net/event_loop/exception_guard.hpp"
 #include "net/http/framing.hpp"
 #include "net/system_call/socket_io.hpp"
 #include "net/system_call/socket_wait.hpp"
@@ -94,12 +95,24 @@
   if (connection->read_pending) {
     return;
   }
-  connection->read_pending = true;
   wait_readable(connection->socket, [this, connection](error_code ec) {
     connection->read_pending = false;
-    on_readable(connection, ec);
+    const bool is_done = run_and_log_exceptions("attempt", [&] { on_readable(connection, ec); });
+    if (!is_done) {
+      fail_after_exception(connection);
+    }
   });
 }
+  connection->read_pending = true;
+}
+
+// Bytes of the response may be lost, so the connection has no further use.
+void ResponseReader::fail_after_exception(const ConnectionPtr& connection) const {
+  if (connection->state == State::kWriting || connection->state == State::kWaiting) {
+    response_events_.on_broken(connection);
+  } else if (connection->state == State::kIdle) {
+    response_events_.on_idle_readable(connection);
+  }
 
 void ResponseReader::resume(const ConnectionPtr& connection) {
   connection->delivery = Delivery::kStreaming;
--- a/src/net/upstream/response_reader.hpp
+++ b/src/net/upstream/response_reader.hpp
@@ -59,6 +59,7 @@
   using State = UpstreamConnection::State;
   using Delivery = UpstreamConnection::Delivery;
 
+  void fail_after_exception(const ConnectionPtr& connection) const;
   void on_readable(const ConnectionPtr& connection, boost::system::error_code error);
   void on_received(const ConnectionPtr& connection, std::size_t size);
   void on_disconnected(const ConnectionPtr& connection, boost::system::error_code error);
--- a/tests/net/event_loop/timers_test.cpp
+++ b/tests/net/event_loop/timers_test.cpp
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <memory>
+#include <new>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -122,5 +124,36 @@
   EXPECT_EQ(fired, (std::vector<int>{1, 2}));
 }
 
+// Guards against work that is lost because its timer met a lack of memory.
+TEST_F(TimersTest, ACallbackThatFailsIsCalledAgainAndFinallyDropped) {
+  int calls = 0;
+  int hopeless_calls = 0;
+  timers.after(0, [&] {
+    if (++calls < 3) {
+      throw std::bad_alloc();
+    }
+  });
+  timers.after(0, [&] {
+    ++hopeless_calls;
+    throw std::bad_alloc();
+  });
+  io.run_for(std::chrono::milliseconds(500));
+  EXPECT_EQ(calls, 3);
+  EXPECT_EQ(hopeless_calls, 21);
+  EXPECT_EQ(timers.size(), 0U);
+}
+
+// Guards against checks that end with the first exception.
+TEST_F(TimersTest, APeriodicCallbackGoesOnAfterExceptions) {
+  int calls = 0;
+  timers.every(1'000, [&] {
+    ++calls;
+    throw std::bad_alloc();
+  });
+  io.run_for(std::chrono::milliseconds(100));
+  EXPECT_GT(calls, 3);
+  EXPECT_EQ(timers.size(), 1U);
+}
+
 }  // namespace
 }  // namespace quota_gateway::net::testing
--- a/tests/net/server/allocation_fault_test.cpp
+++ b/tests/net/server/allocation_fault_test.cpp
@@ -50,11 +50,15 @@
   run_and_check(kRunTime, GetParam().name);
 }
 
-INSTANTIATE_TEST_SUITE_P(Cases, AllocationFaults,
-                         ::testing::Values(AllocationFaultCase{"100InAMillion", "0.0001 0 1000 1"},
-                                           AllocationFaultCase{"1000InAMillion", "0.001 0 1000 1"},
-                                           AllocationFaultCase{"OneInFifty", "0.02 0 1000 1"},
-                                           AllocationFaultCase{"AllFor100ms", "0 100 1000 1"}));
+INSTANTIATE_TEST_SUITE_P(
+    Cases, AllocationFaults,
+    ::testing::Values(AllocationFaultCase{"100InAMillion", "0.0001 0 1000 1 0"},
+                      AllocationFaultCase{"1000InAMillion", "0.001 0 1000 1 0"},
+                      AllocationFaultCase{"OneInFifty", "0.02 0 1000 1 0"},
+                      AllocationFaultCase{"AllFor100ms", "0 100 1000 1 0"},
+                      AllocationFaultCase{"AllFor600ms", "0 600 1000 1 0"},
+                      AllocationFaultCase{"OneInTenWithoutReserve", "0.1 0 1000 1 1"},
+                      AllocationFaultCase{"AllFor20msWithoutReserve", "0 20 1000 1 1"}));
 
 }  // namespace
 }  // namespace quota_gateway::net::testing
--- a/tests/net/server/lost_request_soak_test.cpp
+++ b/tests/net/server/lost_request_soak_test.cpp
@@ -35,6 +35,19 @@
   return text + (plan.breaks_connections ? " broken=0.01" : "");
 }
 
+// Of a generator of its own, so that the other draws of a seed stay as they were.
+std::string draw_allocation_faults(int seed) {
+#ifdef __SANITIZE_ADDRESS__
+  return "";
+#else
+  std::mt19937 random{unsigned(seed) + 1'000'000};
+  constexpr const char* kAfterStart = " 600 ";
+  const std::string rate = draw_one<const char*>(random, {"0", "0.0001", "0.001", "0.02"});
+  const std::string outage_ms = draw_one<const char*>(random, {" 0", " 0", " 30", " 150"});
+  return rate + outage_ms + kAfterStart + std::to_string(seed) + " 0";
+#endif
+}
+
 SoakPlan draw_plan(int seed) {
   std::mt19937 random{unsigned(seed)};
   SoakPlan plan;
@@ -48,6 +61,7 @@
   plan.sends_several = random() % 2 == 0;
   plan.signals = Signals(random() % 5);
   plan.faults.system_calls = draw_faults(random, plan);
+  plan.faults.allocations = draw_allocation_faults(seed);
   return plan;
 }
 
--- a/tests/support/allocation_faults/allocation_faults.cpp
+++ b/tests/support/allocation_faults/allocation_faults.cpp
@@ -1,9 +1,13 @@
 // A library that is loaded into a gateway process (LD_PRELOAD) and makes allocations fail with
 // ENOMEM, as the system does when it has no memory to give.
 //
-// ALLOCATION_FAULTS holds four numbers: the share of the calls that fail, from 0 to 1; for how many
+// ALLOCATION_FAULTS holds five numbers: the share of the calls that fail, from 0 to 1; for how many
 // milliseconds of each second all calls fail; how many milliseconds after the start of the process
-// the faults begin; and a seed.
+// the faults begin; a seed; and whether the program gets no mappings of its own (1), which leaves
+// the gateway without its reserve.
+#include <dlfcn.h>
+#include <sys/mman.h>
+
 #include <cerrno>
 #include <cstddef>
 #include <cstdint>
@@ -27,6 +31,7 @@
   int outage_ms = 0;  // of each second
   int delay_ms = 0;
   unsigned seed = 1;
+  int denies_mappings = 0;
 };
 
 std::int64_t now_ms() {
@@ -50,8 +55,8 @@
 
 [[gnu::constructor]] void read_plan() {
   const char* const text = std::getenv("ALLOCATION_FAULTS");
-  if (text == nullptr || std::sscanf(text, "%lf %d %d %u", &plan.rate, &plan.outage_ms,
-                                     &plan.delay_ms, &plan.seed) != 4) {
+  if (text == nullptr || std::sscanf(text, "%lf %d %d %u %d", &plan.rate, &plan.outage_ms,
+                                     &plan.delay_ms, &plan.seed, &plan.denies_mappings) != 5) {
     return;
   }
   random_state = plan.seed * 0x9E3779B97F4A7C15ULL + 1;
@@ -91,4 +96,15 @@
   return allocation_fails() ? nullptr : __libc_memalign(alignment, size);
 }
 
+// The allocator of the C library makes its own mappings by another name.
+void* mmap(void* address, std::size_t size, int protection, int flags, int fd, off_t offset) {
+  if (plan.denies_mappings != 0) {
+    errno = ENOMEM;
+    return MAP_FAILED;
+  }
+  using Mmap = decltype(::mmap);
+  static auto* const next = reinterpret_cast<Mmap*>(::dlsym(RTLD_NEXT, "mmap"));
+  return next(address, size, protection, flags, fd, offset);
+}
+
 }  // extern "C"
--- a/tests/support/gateway_soak.cpp
+++ b/tests/support/gateway_soak.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iostream>
 #include <iterator>
+#include <sstream>
 #include <utility>
 
 #include "support/resource_usage.hpp"
@@ -27,6 +28,16 @@
   return text;
 }
 
+// The lines of the log that begin with `prefix`.
+std::string lines_of(const std::string& log, const std::string& prefix) {
+  std::string found;
+  std::istringstream lines(log);
+  for (std::string line; std::getline(lines, line);) {
+    found += line.starts_with(prefix) ? line + "\n" : "";
+  }
+  return found;
+}
+
 }  // namespace
 
 std::string describe(const SoakPlan& plan) {
@@ -215,6 +226,7 @@
             << " ms\n";
   EXPECT_EQ(audit.lost(), 0) << audit.failures();
   EXPECT_GT(audit.served(), 0);
+  EXPECT_EQ(lines_of(logs, "guard: "), "");
 }
 
 }  // namespace quota_gateway::net::testing
