--- a/src/net/upstream/connection_pool.cpp
+++ b/src/net/upstream/connection_pool.cpp
@@ -87,7 +87,7 @@
   if (!endpoint || !endpoint->up) {
     return attempts_.fail_unassigned(key, Outcome::kNotSent);
   }
-  ConnectionPtr connection = take_idle(server);
+  ConnectionPtr connection = take_idle(server, *endpoint);
   const bool is_new = !connection;
   if (is_new) {
     connection = create(server, *endpoint);
@@ -115,12 +115,29 @@
   return {.open = open_connections_, .idle = idle_.size(), .in_use = attempts_.counts()};
 }
 
-ConnectionPool::ConnectionPtr ConnectionPool::take_idle(const std::string& server) {
+// A server may send extra bytes shortly after a response. If the connection were reused
+// immediately, these bytes would be parsed as the response to the next request. A server that holds
+// few connections would reject a new one instead, so there such bytes are recognised by their body.
+ConnectionPool::ConnectionPtr ConnectionPool::find_reusable(const ServerProcess& process,
+                                                            Micros now) {
+  ConnectionPtr connection = idle_.most_recent(process.server, now - limits_.reuse_delay);
+  if (connection || !reuse_policy_.may_reuse_early(process)) {
+    return connection;
+  }
+  connection = idle_.most_recent(process.server, now - limits_.early_reuse_delay);
+  if (!connection || connection->had_long_response ||
+      connection->server_started_at != process.started_at) {
+    return nullptr;
+  }
+  connection->suspects_same_body = reuse_policy_.suspects_same_body(process);
+  return connection;
+}
+
+ConnectionPool::ConnectionPtr ConnectionPool::take_idle(const std::string& server,
+                                                        const EndpointStatus& endpoint) {
   const Micros now = clock_.now();
   while (true) {
-    // A server may send extra bytes shortly after a response. If the connection were reused
-    // immediately, these bytes would be parsed as the response to the next request.
-    ConnectionPtr connection = idle_.most_recent(server, now - limits_.reuse_delay);
+    ConnectionPtr connection = find_reusable({server, endpoint.started_at}, now);
     if (!connection) {
       return nullptr;
     }
@@ -186,6 +203,7 @@
 
 void ConnectionPool::on_released(const ConnectionPtr& connection, ConnectionCondition condition) {
   update_idle_reuse(*connection, condition);
+  update_reuse_policy(*connection);
   if (condition == ConnectionCondition::kUnsolicitedBytes) {
     on_unsolicited_bytes(*connection);
   }
@@ -197,6 +215,21 @@
   }
 }
 
+void ConnectionPool::update_reuse_policy(const UpstreamConnection& connection) {
+  if (!connection.is_final_head_done()) {
+    return;
+  }
+  const ServerProcess process = process_of(connection);
+  const bool is_first = connection.idle_before_request == 0;
+  if (is_first && connection.outcome() == Outcome::kOverloaded) {
+    reuse_policy_.on_connection_rejected(process);
+  } else if (connection.suspects_same_body && connection.repeats_body()) {
+    reuse_policy_.on_suspected_copy(process);
+  } else if (!is_first && connection.outcome() == Outcome::kOk) {
+    reuse_policy_.on_response(process, connection.repeats_body());
+  }
+}
+
 void ConnectionPool::update_idle_reuse(const UpstreamConnection& connection,
                                        ConnectionCondition condition) {
   switch (condition) {
@@ -219,6 +252,8 @@
 void ConnectionPool::keep_idle(const ConnectionPtr& connection) {
   connection->state = State::kIdle;
   connection->idle_since = clock_.now();
+  connection->suspects_same_body = false;
+  connection->had_long_response = connection->delivery != UpstreamConnection::Delivery::kBuffered;
   connection->release_memory();
   idle_.add(connection);
   if (limits_.max_observation > 0 && connection->repeats_response() &&
--- a/src/net/upstream/connection_pool.hpp
+++ b/src/net/upstream/connection_pool.hpp
@@ -37,6 +37,8 @@
   // Time after a response during which the connection is not reused, because trailing bytes of the
   // response may still arrive.
   Micros reuse_delay = 60'000;
+  // The same time for servers that hold few connections, see ConnectionReusePolicy.
+  Micros early_reuse_delay = 10'000;
   // Maximum time for which a connection is observed before its reuse because a response on it may
   // have been a second copy. Its own response comes within the client's deadline if at all. 0:
   // connections are not observed.
@@ -97,7 +99,9 @@
   using State = UpstreamConnection::State;
 
   // Opening and reusing connections.
-  ConnectionPtr take_idle(const std::string& server);
+  ConnectionPtr take_idle(const std::string& server, const EndpointStatus& endpoint);
+  // Returns an idle connection that has been idle long enough, or null.
+  ConnectionPtr find_reusable(const ServerProcess& process, Micros now);
   // Starts an attempt, or reports that it cannot be sent.
   void start_attempt(AttemptKey key, const std::string& server, const ForwardedRequest& request,
                      AttemptTimes times);
@@ -109,6 +113,7 @@
   // Handling a connection after its attempt.
   ConnectionEvents connection_events();
   void on_released(const ConnectionPtr& connection, ConnectionCondition condition);
+  void update_reuse_policy(const UpstreamConnection& connection);
   void update_idle_reuse(const UpstreamConnection& connection, ConnectionCondition condition);
   bool is_listed(const UpstreamConnection& connection) const;
   void keep_idle(const ConnectionPtr& connection);
--- a/src/net/upstream/connection_reuse_policy.cpp
+++ b/src/net/upstream/connection_reuse_policy.cpp
@@ -33,10 +33,45 @@
   }
 }
 
-bool ConnectionReusePolicy::may_reuse(const ServerProcess& process) const {
+const ConnectionReusePolicy::Evidence* ConnectionReusePolicy::known_evidence(
+    const ServerProcess& process) const {
   const auto known = by_server_.find(process.server);
   const bool is_known = known != by_server_.end() && known->second.started_at == process.started_at;
-  return !is_known || !known->second.sends_unsolicited_bytes;
+  return is_known ? &known->second : nullptr;
+}
+
+bool ConnectionReusePolicy::may_reuse(const ServerProcess& process) const {
+  const Evidence* const evidence = known_evidence(process);
+  return evidence == nullptr || !evidence->sends_unsolicited_bytes;
+}
+
+void ConnectionReusePolicy::on_connection_rejected(const ServerProcess& process) {
+  if (Evidence* const evidence = evidence_for(process)) {
+    evidence->rejects_connections = true;
+  }
+}
+
+void ConnectionReusePolicy::on_response(const ServerProcess& process, bool has_same_body) {
+  if (Evidence* const evidence = evidence_for(process)) {
+    evidence->has_repeated_body = evidence->has_repeated_body || has_same_body;
+    evidence->responds_differently = !evidence->has_repeated_body;
+  }
+}
+
+void ConnectionReusePolicy::on_suspected_copy(const ServerProcess& process) {
+  on_response(process, true);
+}
+
+bool ConnectionReusePolicy::may_reuse_early(const ServerProcess& process) const {
+  const Evidence* const evidence = known_evidence(process);
+  return evidence != nullptr && evidence->rejects_connections &&
+         !evidence->sends_unsolicited_bytes &&
+         (evidence->responds_differently || evidence->responds_alike);
+}
+
+bool ConnectionReusePolicy::suspects_same_body(const ServerProcess& process) const {
+  const Evidence* const evidence = known_evidence(process);
+  return evidence == nullptr || !evidence->responds_alike;
 }
 
 bool ConnectionReusePolicy::begin_observation(const ServerProcess& process) {
--- a/src/net/upstream/connection_reuse_policy.hpp
+++ b/src/net/upstream/connection_reuse_policy.hpp
@@ -23,6 +23,22 @@
  public:
   // The process has sent bytes that no request awaited, so it may do so again.
   void on_unsolicited_bytes(const ServerProcess& process);
+  // The process has rejected the first request on a new connection: it may hold no further one.
+  void on_connection_rejected(const ServerProcess& process);
+  // A response had another body than the one before it on its connection, or the same.
+  void on_response(const ServerProcess& process, bool has_same_body);
+  // A connection that was reused early gave a response with the same body as the one before it: a
+  // second copy, or this process responds alike.
+  void on_suspected_copy(const ServerProcess& process);
+
+  // Whether a connection to the process may be reused early, before a second response would have
+  // come: the process holds few connections, and a second response could be told from another one
+  // or would be no other.
+  bool may_reuse_early(const ServerProcess& process) const;
+  // Whether a response on a connection that is reused early is a second copy if it has the same
+  // body as the one before it.
+  bool suspects_same_body(const ServerProcess& process) const;
+
   // Whether connections to the process may serve more than one request.
   bool may_reuse(const ServerProcess& process) const;
 
@@ -39,9 +55,14 @@
     Micros started_at = 0;
     bool sends_unsolicited_bytes = false;
     bool responds_alike = false;  // its responses to different requests may have the same bytes
+    bool rejects_connections = false;
+    bool responds_differently = false;  // all responses so far had another body than the one before
+    bool has_repeated_body = false;
     int observed_connections = 0;
   };
 
+  // Returns the evidence about the process, or null if there is none.
+  const Evidence* known_evidence(const ServerProcess& process) const;
   // Returns the evidence about the process, or null if a later process of the server is known.
   Evidence* evidence_for(const ServerProcess& process);
 
--- a/src/net/upstream/response_reader.cpp
+++ b/src/net/upstream/response_reader.cpp
@@ -47,7 +47,8 @@
 // Whether the response is most likely a second copy of the one before it on the connection, and so
 // not the response to its request.
 bool is_likely_copy(const UpstreamConnection& connection) {
-  return connection.is_distrusted && connection.repeats_response();
+  return (connection.is_distrusted && connection.repeats_response()) ||
+         (connection.suspects_same_body && connection.repeats_body());
 }
 
 bool is_streaming(const UpstreamConnection& connection) {
@@ -102,7 +103,6 @@
       fail_after_exception(connection);
     }
   });
-}
   connection->read_pending = true;
 }
 
@@ -113,6 +113,7 @@
   } else if (connection->state == State::kIdle) {
     response_events_.on_idle_readable(connection);
   }
+}
 
 void ResponseReader::resume(const ConnectionPtr& connection) {
   connection->delivery = Delivery::kStreaming;
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -88,6 +88,7 @@
   response_complete = false;
   if (!response_.is_empty()) {
     previous_response_ = std::exchange(response_, {});
+    previous_body_ = std::exchange(body_, {});
   }
   expect_response();
 }
@@ -131,6 +132,9 @@
     throw boost::system::system_error(ec);  // not HTTP, or too large
   }
   response_.add(received.view().substr(0, parsed));
+  if (is_final_head_done()) {
+    body_.add(received.view().substr(0, parsed));
+  }
   received.consume(parsed);
   start_line_parsed = start_line_parsed || parsed > 0;
   if (parser->is_header_done() && !parser->eager()) {
@@ -186,6 +190,10 @@
   return parser->keep_alive() && received.empty();
 }
 
+bool UpstreamConnection::repeats_body() const {
+  return previous_body_ == body_ && (!body_.is_empty() || repeats_response());
+}
+
 bool UpstreamConnection::has_response_bytes() const {
   return parser->got_some() || !received.empty();
 }
--- a/src/net/upstream/upstream_connection.hpp
+++ b/src/net/upstream/upstream_connection.hpp
@@ -104,6 +104,10 @@
   // Returns whether the complete response has the same bytes as the one before it.
   bool repeats_response() const { return previous_response_ == response_; }
 
+  // Returns whether the response has the same body as the one before it on this connection, or the
+  // same bytes if it has no body. False for the first response.
+  bool repeats_body() const;
+
   // Returns whether any byte of the current response was received.
   bool has_response_bytes() const;
 
@@ -140,6 +144,10 @@
   bool read_pending = false;  // a wait for the socket to be readable is pending
   // Whether the server is known to send bytes that no request awaits.
   bool is_distrusted = false;
+  // Whether the previous response was delivered in pieces.
+  bool had_long_response = false;
+  // Whether a response with the same body as the one before it is a second copy of that.
+  bool suspects_same_body = false;
   // Whether the connection, which is idle, is out of use, see ConnectionReusePolicy.
   bool is_observed = false;
   // Received bytes that were not parsed yet. At most the limits of parse_received() and one read.
@@ -172,6 +180,8 @@
   std::optional<AttemptResult> head_result_;
   ResponseFingerprint response_;  // of the response that is being received
   std::optional<ResponseFingerprint> previous_response_;
+  ResponseFingerprint body_;  // of the response that is being received
+  std::optional<ResponseFingerprint> previous_body_;
 };
 
 using UpstreamConnectionPtr = std::shared_ptr<UpstreamConnection>;
--- a/tests/net/server/lost_request_soak_test.cpp
+++ b/tests/net/server/lost_request_soak_test.cpp
@@ -127,6 +127,56 @@
   EXPECT_LE(audit.most_foreign_responses(), 1) << audit.failures();
 }
 
+// Servers that hold a number of connections each, which the parameter states.
+class FewConnectionsSoak : public SoakFixture, public ::testing::WithParamInterface<int> {
+ protected:
+  FewConnectionsSoak() : SoakFixture(plan_for(GetParam()), soak_seeds().first) {}
+
+ public:
+  static SoakPlan plan_for(int connections) {
+    SoakPlan plan;
+    plan.gateways = 3;
+    plan.clients = 120 / kSanitizerLoadDivisor;
+    plan.clients_leave = false;
+    plan.max_pause = milliseconds(200);
+    plan.server_max_connections = std::size_t(connections);
+    return plan;
+  }
+};
+
+// Guards against connections that rest while their server rejects new ones.
+TEST_P(FewConnectionsSoak, MostRequestsAreServed) {
+  run_and_check(kRunTime, "servers hold " + std::to_string(GetParam()));
+  std::size_t rejected = 0;
+  for (const AuditedServer& server : servers) {
+    rejected += server.rejected_connections();
+  }
+  std::cout << "rejected by servers " << rejected << '\n';
+  EXPECT_GT(audit.served(), audit.answered() * 8 / 10);
+}
+
+// The same, with servers that send responses a second time, within 40 ms.
+class FewConnectionsSecondResponseSoak : public SoakFixture,
+                                         public ::testing::WithParamInterface<int> {
+ protected:
+  FewConnectionsSecondResponseSoak() : SoakFixture(plan_for(GetParam()), soak_seeds().first) {}
+
+  static SoakPlan plan_for(int connections) {
+    SoakPlan plan = FewConnectionsSoak::plan_for(connections);
+    plan.second_response_rate = 0.3;
+    plan.max_second_delay = milliseconds(40);
+    return plan;
+  }
+};
+
+// Guards against the early reuse of connections on which a second response is still to come.
+TEST_P(FewConnectionsSecondResponseSoak, NoRequestGetsTheResponseToAnother) {
+  run_and_check(kRunTime, "servers hold " + std::to_string(GetParam()) + " and respond twice");
+}
+
+INSTANTIATE_TEST_SUITE_P(Connections, FewConnectionsSoak, ::testing::Values(6));
+INSTANTIATE_TEST_SUITE_P(Connections, FewConnectionsSecondResponseSoak, ::testing::Values(6));
+
 INSTANTIATE_TEST_SUITE_P(Milliseconds, BriefSecondResponseSoak, ::testing::Values(9));
 INSTANTIATE_TEST_SUITE_P(Milliseconds, SecondResponseSoak, ::testing::Values(20, 200));
 
--- a/tests/support/audited_traffic.cpp
+++ b/tests/support/audited_traffic.cpp
@@ -305,6 +305,11 @@
   enum Fault { kHang, kReset, kError, kOverloaded, kLate, kUntilClose, kFaults };
   const std::string id(request["X-Trace-Id"]);
   audit_.on_attempt(id, behavior_.number);
+  if (!holds(peer)) {
+    ++rejected_connections_;
+    peer.write(http_response("503 Service Unavailable", "X-Never-Ran: 1\r\nConnection: close\r\n"));
+    return peer.close();
+  }
   const std::string body = RequestAudit::body_of(id);
   const milliseconds delay(int(random_() % kMaxDelayMs));
   if (!draw(behavior_.fault_rate)) {
@@ -330,6 +335,21 @@
   }
 }
 
+// Whether the connection is one of those that the server holds. Open ones keep their place.
+bool AuditedServer::holds(PeerConnection& peer) {
+  if (behavior_.max_connections == 0) {
+    return true;
+  }
+  std::erase_if(held_, [](const auto& held) { return held->closed; });
+  const bool is_held = std::any_of(held_.begin(), held_.end(),
+                                   [&peer](const auto& held) { return held.get() == &peer; });
+  if (!is_held && held_.size() < behavior_.max_connections) {
+    held_.push_back(peer.shared_from_this());
+    return true;
+  }
+  return is_held;
+}
+
 // Sends the second response, if one is drawn, some time after the first.
 void AuditedServer::write_again(PeerConnection& peer, const std::string& text, milliseconds delay) {
   if (behavior_.second_response_rate == 0 || !draw(behavior_.second_response_rate)) {
--- a/tests/support/audited_traffic.hpp
+++ b/tests/support/audited_traffic.hpp
@@ -16,6 +16,7 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "support/fake_server.hpp"
 #include "support/peer_connection.hpp"
@@ -165,6 +166,9 @@
   // Share of its responses that it sends a second time, after at most `max_second_delay`.
   double second_response_rate = 0;
   milliseconds max_second_delay{0};
+  // Connections that it holds; requests on further ones are rejected (503) and the connection is
+  // closed. 0: no limit.
+  std::size_t max_connections = 0;
 };
 
 // A server that answers requests in the ways that its fault rate draws.
@@ -175,10 +179,13 @@
   // The number of connections that the gateways have opened.
   std::size_t connections() const { return server_.peers.size(); }
   std::size_t requests() const { return server_.requests.size(); }
+  // Requests that were rejected because their connection was one too many.
+  std::size_t rejected_connections() const { return rejected_connections_; }
   bool is_sound() const { return behavior_.second_response_rate == 0; }
 
  private:
   void respond(PeerConnection& peer, const HttpRequest& request);
+  bool holds(PeerConnection& peer);
   void write_later(PeerConnection& peer, std::string text, milliseconds delay, bool closes);
   void write_again(PeerConnection& peer, const std::string& text, milliseconds delay);
   bool draw(double rate) { return std::uniform_real_distribution<double>(0, 1)(random_) < rate; }
@@ -188,6 +195,8 @@
   const ServerBehavior behavior_;
   std::mt19937 random_;
   FakeServer server_;
+  std::vector<std::shared_ptr<PeerConnection>> held_;  // used if there is a limit
+  std::size_t rejected_connections_ = 0;
 };
 
 }  // namespace quota_gateway::net::testing
--- a/tests/support/gateway_soak.cpp
+++ b/tests/support/gateway_soak.cpp
@@ -57,7 +57,9 @@
 
 void SoakFixture::SetUp() {
   for (int i = 0; i < kServers; ++i) {
-    ServerBehavior behavior{.number = i, .fault_rate = plan.server_faults};
+    ServerBehavior behavior{.number = i,
+                            .fault_rate = plan.server_faults,
+                            .max_connections = plan.server_max_connections};
     if (i % 3 == 0) {
       behavior.second_response_rate = plan.second_response_rate;
       behavior.max_second_delay = plan.max_second_delay;
@@ -224,9 +226,9 @@
   std::cout << title << ": " << describe(plan) << ": answered " << audit.answered() << ", served "
             << audit.served() << ", lost " << audit.lost() << ", lag " << audit.lag().count()
             << " ms\n";
+  EXPECT_EQ(lines_of(logs, "guard: "), "");
   EXPECT_EQ(audit.lost(), 0) << audit.failures();
   EXPECT_GT(audit.served(), 0);
-  EXPECT_EQ(lines_of(logs, "guard: "), "");
 }
 
 }  // namespace quota_gateway::net::testing
--- a/tests/support/gateway_soak.hpp
+++ b/tests/support/gateway_soak.hpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <cstddef>
 #include <list>
 #include <memory>
 #include <optional>
@@ -38,6 +39,7 @@
   // A third of the servers send a part of their responses a second time, after this time at most.
   double second_response_rate = 0;
   milliseconds max_second_delay{0};
+  std::size_t server_max_connections = 0;  // that each server holds; 0: no limit
 };
 
 std::string describe(const SoakPlan& plan);
