--- a/src/net/admin/admin_server.cpp
+++ b/src/net/admin/admin_server.cpp
@@ -3,6 +3,8 @@
 #include <iostream>
 #include <utility>
 
+#include "net/event_loop/exception_guard.hpp"
+
 namespace quota_gateway::net {
 namespace {
 
@@ -35,7 +37,7 @@
       handlers_(std::move(handlers)),
       acceptor_(io),
       accepted_(io, acceptor_, [this](tcp::socket socket) {
-        add_connection(std::move(socket));
+        run_and_log_exceptions("admin", [&] { add_connection(std::move(socket)); });
         accepted_.accept_next();
       }) {
   listen();
--- a/src/net/admin/admin_server.hpp
+++ b/src/net/admin/admin_server.hpp
@@ -32,6 +32,9 @@
   // listen yet.
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
+  // Accepts connections again if an exception has interrupted that. Returns whether it had.
+  bool resume() { return accepted_.resume(); }
+
  private:
   void listen();
   void add_connection(boost::asio::ip::tcp::socket socket);
--- a/src/net/server/endpoint_list_applier.cpp
+++ b/src/net/server/endpoint_list_applier.cpp
@@ -63,12 +63,20 @@
     list_with_endpoints_applied_ = list_with_endpoints_applied_ || pool_.endpoint_count() > 0;
     callbacks_.on_list_applied();
   } else {
-    next_slice_posted_ = true;
     boost::asio::post(loop_.io, [this] { apply_slice(EndpointListUpdate::Kind::kPartial); });
+    next_slice_posted_ = true;
   }
   callbacks_.on_slice_applied();
 }
 
+bool EndpointListApplier::resume() {
+  if (next_slice_posted_ || pool_.lists_applied()) {
+    return false;
+  }
+  apply_slice(EndpointListUpdate::Kind::kPartial);
+  return true;
+}
+
 bool EndpointListApplier::has_initial_list() const {
   return !persisted_ && !is_first_list_partial();
 }
--- a/src/net/server/endpoint_list_applier.hpp
+++ b/src/net/server/endpoint_list_applier.hpp
@@ -48,6 +48,10 @@
   // Whether arriving requests must be held until on_list_applied is called.
   bool requests_must_wait() const;
 
+  // Applies the rest of the pending lists if an exception has interrupted that. Returns whether it
+  // had.
+  bool resume();
+
  private:
   void enqueue(EndpointList list, EndpointListUpdate::Kind kind);
   void apply_slice(EndpointListUpdate::Kind kind);
--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -212,6 +212,8 @@
   resume([this] { return deadlines_.resume(); });
   resume([this] { return std::size_t(discovery_.resume()); });
   resume([this] { return std::size_t(executor_.resume_counter()); });
+  resume([this] { return std::size_t(endpoint_lists_.resume()); });
+  resume([this] { return std::size_t(admin_ && admin_->resume()); });
   stats_.on_work_resumed(resumed);
 }
 
--- a/src/net/server/main.cpp
+++ b/src/net/server/main.cpp
@@ -28,10 +28,11 @@
 // Logs an exception that leaves a handler and continues: it would otherwise end the process with
 // all requests in flight. This loop and not a handler looks for interrupted work, since no
 // exception and no lack of memory ends it.
-void run_until_stopped(boost::asio::io_context& io, GatewayServer& server) {
+void run_until_stopped(boost::asio::io_context& io, GatewayServer& server, SignalHandler& signals) {
   while (!io.stopped()) {
     run_and_log_exceptions("exception in the event loop", [&] { io.run_for(kResumeInterval); });
     run_and_log_exceptions("resuming work", [&] { server.resume_work(); });
+    run_and_log_exceptions("resuming work", [&] { signals.resume(); });
   }
 }
 
@@ -53,7 +54,7 @@
   };
   signals.start({drain, [&reloader] { reloader.start(); }});
   std::cerr << name << ": ready\n";
-  run_until_stopped(io, server);
+  run_until_stopped(io, server, signals);
 }
 
 }  // namespace
--- a/src/net/server/signal_handler.cpp
+++ b/src/net/server/signal_handler.cpp
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <utility>
 
+#include "net/event_loop/exception_guard.hpp"
+
 namespace quota_gateway::net {
 namespace {
 
@@ -32,16 +34,24 @@
 
 void SignalHandler::wait() {
   signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+    is_waiting_ = false;
     if (error) {
       return;
     }
-    wait();
+    run_and_log_exceptions("signals", [this] { wait(); });
     if (signal == SIGHUP) {
       callbacks_.on_hang_up();
     } else {
       callbacks_.on_terminate();
     }
   });
+  is_waiting_ = true;
+}
+
+void SignalHandler::resume() {
+  if (!is_waiting_) {
+    wait();
+  }
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/server/signal_handler.hpp
+++ b/src/net/server/signal_handler.hpp
@@ -29,12 +29,15 @@
   };
   // Starts to report signals. A callback is called from the event loop once per signal.
   void start(Callbacks callbacks);
+  // Waits for signals again if an exception has interrupted that.
+  void resume();
 
  private:
   void wait();
 
   boost::asio::signal_set signals_;
   Callbacks callbacks_;
+  bool is_waiting_ = false;
 };
 
 }  // namespace quota_gateway::net
