--- a/src/net/client/request_validator.cpp
+++ b/src/net/client/request_validator.cpp
@@ -242,6 +242,7 @@
   const ClassSettings& request_class = find_named(settings.classes, path.request_class, "class");
   arrived.request_class = request_class.name;
   result.idempotent = request_class.idempotency == Idempotency::kIdempotent;
+  result.may_run_again = request_class.idempotency != Idempotency::kNonIdempotent;
   check_method(request, result.idempotent);
 
   forwarded.trace_id = required_id(request, "X-Trace-Id");
--- a/src/net/client/request_validator.hpp
+++ b/src/net/client/request_validator.hpp
@@ -20,6 +20,7 @@
   Micros timeout = 0;          // how long the client waits for the response
   Micros received_at = 0;      // when the last of its bytes arrived; the request reader sets it
   bool idempotent = false;     // the request class is idempotent, so a body is not allowed
+  bool may_run_again = false;  // by its class: idempotent, or servers recognise its key
   ForwardedRequest forwarded;  // the request reader adds the body
 };
 
--- a/src/net/server/attempt_reporter.cpp
+++ b/src/net/server/attempt_reporter.cpp
@@ -40,7 +40,7 @@
   Attempt& attempt = request.attempt(key.attempt);
   attempt.in_flight = false;
   --request.attempts_in_flight;
-  request.has_run = request.has_run || may_have_run(result.outcome);
+  request.is_run_possible = request.is_run_possible || may_have_run(result.outcome);
   request.last_attempt_timed_out = result.outcome == Outcome::kTimeout;
   AttemptCompleted completed;
   completed.id = std::to_string(key.request);
--- a/src/net/server/request_dispatcher.cpp
+++ b/src/net/server/request_dispatcher.cpp
@@ -63,6 +63,7 @@
   RequestArrived& arrived = accepted.arrived;
   request.client = client;
   request.idempotent = accepted.idempotent;
+  request.may_run_again = accepted.may_run_again;
   request.response_counts = &stats_.on_request_started(arrived.request_class);
   request.time_limit = time_limit_for(accepted.timeout);
   request.body_complete = accepted.forwarded.body_complete;
--- a/src/net/server/request_guard.cpp
+++ b/src/net/server/request_guard.cpp
@@ -9,8 +9,7 @@
     on_violation(key.request, "another attempt is in flight; this one is not sent");
     return false;
   }
-  const bool may_repeat = request.idempotent || !request.forwarded.idempotency_key.empty();
-  if (request.has_run && !may_repeat) {
+  if (request.is_run_possible && !request.may_run_again) {
     on_violation(key.request, "it may have run and is not idempotent; it is not sent again");
     return false;
   }
--- a/src/net/server/request_table.hpp
+++ b/src/net/server/request_table.hpp
@@ -53,8 +53,10 @@
   bool idempotent = false;
   // The last byte of an attempt was written, so its server may have run the request.
   bool may_have_run = false;
+  // Whether the request may be sent again although a server may have run it.
+  bool may_run_again = false;
   // An attempt has ended in a way that leaves open whether its server has run the request.
-  bool has_run = false;
+  bool is_run_possible = false;
   // A long response has begun and is being streamed to the client.
   bool response_started = false;
   int attempts_in_flight = 0;
--- a/tests/support/audited_traffic.cpp
+++ b/tests/support/audited_traffic.cpp
@@ -75,6 +75,13 @@
   }
 }
 
+void RequestAudit::on_run(const std::string& id, bool is_idempotent) {
+  AuditedRequest& request = requests_.at(id);
+  if (++request.runs > 1 && !is_idempotent) {
+    on_lost(id, "runs again and is not idempotent");
+  }
+}
+
 void RequestAudit::on_response(const std::string& id, int status, const std::string& body) {
   requests_.at(id).ended_at = Clock::now();
   ++answered_;
@@ -312,12 +319,17 @@
   }
   const std::string body = RequestAudit::body_of(id);
   const milliseconds delay(int(random_() % kMaxDelayMs));
-  if (!draw(behavior_.fault_rate)) {
+  const bool is_sound = !draw(behavior_.fault_rate);
+  const Fault fault = is_sound ? kFaults : Fault(random_() % kFaults);
+  if (fault != kOverloaded) {
+    audit_.on_run(id, request.method() == http::verb::get);
+  }
+  if (is_sound) {
     const std::string text = http_response("200 OK", "", body);
     write_later(peer, text, delay / 4, false);
     return write_again(peer, text, delay / 4);
   }
-  switch (Fault(random_() % kFaults)) {
+  switch (fault) {
     case kHang:
       return;
     case kReset:
--- a/tests/support/audited_traffic.hpp
+++ b/tests/support/audited_traffic.hpp
@@ -54,6 +54,9 @@
   std::string add(int gateway);
   // An attempt has come whole to the server with that number.
   void on_attempt(const std::string& id, int server);
+  // The server of the latest attempt begins to run the request. One that is not idempotent may not
+  // be run again.
+  void on_run(const std::string& id, bool is_idempotent);
   void on_response(const std::string& id, int status, const std::string& body);
   // The client has left, or its connection was ended by a kill.
   void on_left(const std::string& id);
@@ -77,6 +80,7 @@
     int gateway = 0;
     int server = 0;  // of the latest attempt
     int attempts = 0;
+    int runs = 0;
     std::optional<SteadyTime> ended_at;
   };
 
--- a/tests/support/gateway_process.hpp
+++ b/tests/support/gateway_process.hpp
@@ -16,7 +16,8 @@
 // The faults of a process; an empty text: none.
 struct ProcessFaults {
   std::string system_calls = {};  // see tests/support/system_call_faults
-  std::string allocations = {};   // see tests/support/allocation_faults; not with the address sanitizer
+  std::string allocations =
+      {};  // see tests/support/allocation_faults; not with the address sanitizer
 };
 
 // A gateway process that the constructor starts. The destructor kills it if it still runs.
