Run the event loop by run(), and look for interrupted work by a timer

Cause: run_for() sets up and tears down its state for each handler. Now a timer, which is set again before each call, looks for interrupted work, and run_for() is used only while the timers could not be set.

--- a/src/net/event_loop/timers.cpp
+++ b/src/net/event_loop/timers.cpp
@@ -89,6 +89,7 @@
   while (!due_.empty()) {
     run(due_.extract(due_.begin()));
   }
+  schedule_wakeup();  // an exception leaves the event loop, whose caller then calls resume()
 }
 
 // Nodes are moved and not made anew, so that nothing here needs memory.
--- a/src/net/event_loop/timers.hpp
+++ b/src/net/event_loop/timers.hpp
@@ -74,6 +74,8 @@
   // Number of timers that have neither fired nor been cancelled.
   std::size_t size() const { return pending_.size() + due_.size(); }
 
+  // Whether the event loop wakes up for the earliest timer.
+  bool is_wakeup_set() const { return pending_.empty() || wakeup_at_.has_value(); }
   // Takes up again what an exception has prevented: runs the timers that are overdue and makes sure
   // that the event loop wakes up for the others. Returns whether there was something to take up.
   bool resume();
--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -12,6 +12,7 @@
 namespace asio = boost::asio;
 
 constexpr std::size_t kMinClients = 16;
+constexpr Micros kResumeInterval = 100'000;  // us
 constexpr std::size_t kBytesPerMegabyte = 1 << 20;
 
 std::size_t max_clients(const GatewayConfig& config) {
@@ -89,6 +90,7 @@
       handover_(loop_, config, {pool_, clients_, memory_, events_, endpoint_lists_},
                 max_connections(config)),
       shutdown_(loop_, requests_, deadlines_, clients_) {
+  timers_.every(kResumeInterval, [this] { resume_work(); });
   use_counter(config.counter_address);
   discovery_.start();
   stats_.add_classes(settings_.classes);
--- a/src/net/server/main.cpp
+++ b/src/net/server/main.cpp
@@ -22,15 +22,21 @@
 
 constexpr std::size_t kBytesPerMegabyte = 1 << 20;
 
-// The server takes up what an exception has interrupted at this interval at the latest.
-constexpr std::chrono::milliseconds kResumeInterval{100};
+// How soon the timers are set again that could not be set.
+constexpr std::chrono::milliseconds kTimerRetryInterval{10};
 
 // Logs an exception that leaves a handler and continues: it would otherwise end the process with
-// all requests in flight. This loop and not a handler looks for interrupted work, since no
-// exception and no lack of memory ends it.
+// all requests in flight. Without timers nothing would look for interrupted work, so this loop
+// does. run_for() costs more for each handler than run(), so it is used only then.
 void run_until_stopped(boost::asio::io_context& io, GatewayServer& server, SignalHandler& signals) {
   while (!io.stopped()) {
-    run_and_log_exceptions("exception in the event loop", [&] { io.run_for(kResumeInterval); });
+    run_and_log_exceptions("exception in the event loop", [&] {
+      if (server.has_timers()) {
+        io.run();
+      } else {
+        io.run_for(kTimerRetryInterval);
+      }
+    });
     run_and_log_exceptions("resuming work", [&] { server.resume_work(); });
     run_and_log_exceptions("resuming work", [&] { signals.resume(); });
   }
