Compare a response with all that a connection reused early may be behind

What was seen: once, beside a build and three busy processes, servers that hold 6 connections and respond twice gave 4 requests the response to another. Cause, by reading: a connection that is reused early can receive the response to a second request before the second response to the first one comes; only the response before was compared. Now the last 8 bodies are. The new test forces that order; it was not run on the sources before. 44 tests of connections passed.

--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/system/system_error.hpp>
@@ -88,7 +89,7 @@
   response_complete = false;
   if (!response_.is_empty()) {
     previous_response_ = std::exchange(response_, {});
-    previous_body_ = std::exchange(body_, {});
+    recent_bodies_.at(received_bodies_++ % kRecentBodies) = std::exchange(body_, {});
   }
   expect_response();
 }
@@ -191,7 +192,10 @@
 }
 
 bool UpstreamConnection::repeats_body() const {
-  return previous_body_ == body_ && (!body_.is_empty() || repeats_response());
+  if (body_.is_empty()) {
+    return repeats_response();
+  }
+  return std::find(recent_bodies_.begin(), recent_bodies_.end(), body_) != recent_bodies_.end();
 }
 
 bool UpstreamConnection::has_response_bytes() const {
--- a/src/net/upstream/upstream_connection.hpp
+++ b/src/net/upstream/upstream_connection.hpp
@@ -3,6 +3,7 @@
 // them. This module uses no timers and starts no asynchronous operations.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -48,6 +49,9 @@
     kPieceOutstanding  // the last delivered piece has not been forwarded to the client yet
   };
 
+  // More than a connection that is reused early can receive until a second response has come.
+  static constexpr std::size_t kRecentBodies = 8;
+
   using ResponseParser = boost::beast::http::response_parser<IncrementalBody>;
 
   explicit UpstreamConnection(boost::asio::io_context& io) : socket(io) {}
@@ -104,8 +108,8 @@
   // Returns whether the complete response has the same bytes as the one before it.
   bool repeats_response() const { return previous_response_ == response_; }
 
-  // Returns whether the response has the same body as the one before it on this connection, or the
-  // same bytes if it has no body. False for the first response.
+  // Returns whether the response has the same body as one of the kRecentBodies before it on this
+  // connection, or the same bytes as the one before it if it has no body.
   bool repeats_body() const;
 
   // Returns whether any byte of the current response was received.
@@ -181,7 +185,8 @@
   ResponseFingerprint response_;  // of the response that is being received
   std::optional<ResponseFingerprint> previous_response_;
   ResponseFingerprint body_;  // of the response that is being received
-  std::optional<ResponseFingerprint> previous_body_;
+  std::array<ResponseFingerprint, kRecentBodies> recent_bodies_;  // the oldest is replaced
+  std::size_t received_bodies_ = 0;
 };
 
 using UpstreamConnectionPtr = std::shared_ptr<UpstreamConnection>;
--- a/tests/net/upstream/connection_reuse_test.cpp
+++ b/tests/net/upstream/connection_reuse_test.cpp
@@ -93,6 +93,29 @@
   EXPECT_EQ(server.peers.size(), 4U);  // no connection is reused any more
 }
 
+// Guards against a second response that comes behind the response to the next request, on a
+// connection that is reused early.
+TEST_F(ConnectionReuseTest, ASecondResponseToAnEarlierRequestIsNoResponse) {
+  ConnectionPoolLimits limits;
+  limits.reuse_delay = 30'000;
+  limits.early_reuse_delay = 0;
+  make_pool(limits);
+  respond_with(http_response("503 Service Unavailable", "X-Never-Ran: 1\r\n"));
+  ASSERT_EQ(run_attempt(1).outcome, Outcome::kOverloaded);  // it holds few connections
+  const Micros rested = clock.now() + 2 * limits.reuse_delay;
+  ASSERT_TRUE(run_until(io, [&] { return clock.now() >= rested; }));
+  respond_with(http_response("200 OK", "", "a"));
+  ASSERT_EQ(run_attempt(2).body, "a");
+  respond_with(http_response("200 OK", "", "b"));
+  ASSERT_EQ(run_attempt(3).body, "b");
+  respond_with(http_response("200 OK", "", "a"));
+  EXPECT_EQ(run_attempt(4).outcome, Outcome::kReset);
+  EXPECT_EQ(server.peers.size(), 1U);
+  respond_with(http_response("200 OK", "", "c"));
+  EXPECT_EQ(run_attempt(5).body, "c");
+  EXPECT_EQ(server.peers.size(), 2U);
+}
+
 TEST_F(ConnectionReuseTest, ReusesAnIdleConnection) {
   make_pool();
   for (std::uint64_t number = 1; number <= 5; ++number) {
