--- a/src/net/server/recent_trace_ids.cpp
+++ b/src/net/server/recent_trace_ids.cpp
@@ -4,20 +4,29 @@
 
 namespace quota_gateway::net {
 
-void RecentTraceIds::add(const std::string& trace_id) {
+RecentTraceIds::RecentTraceIds()
+    : buckets_(kMaxIds), set_(IdSet::bucket_traits(buckets_.data(), buckets_.size())) {
+  ids_.reserve(kMaxIds);
+}
+
+void RecentTraceIds::add(const std::string& trace_id) noexcept {
   const std::uint64_t hash = hash_text(trace_id);
-  if (!hashes_.insert(hash).second) {
+  if (set_.find(hash) != set_.end()) {
     return;
   }
-  oldest_first_.push_back(hash);
-  if (oldest_first_.size() > kMaxIds) {
-    hashes_.erase(oldest_first_.front());
-    oldest_first_.pop_front();
+  if (ids_.size() < kMaxIds) {
+    set_.insert(ids_.emplace_back(hash));
+    return;
   }
+  Id& id = ids_[oldest_];
+  set_.erase(set_.iterator_to(id));
+  id.hash = hash;
+  set_.insert(id);
+  oldest_ = (oldest_ + 1) % kMaxIds;
 }
 
-bool RecentTraceIds::contains(const std::string& trace_id) const {
-  return hashes_.contains(hash_text(trace_id));
+bool RecentTraceIds::contains(const std::string& trace_id) const noexcept {
+  return set_.find(hash_text(trace_id)) != set_.end();
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/server/recent_trace_ids.hpp
+++ b/src/net/server/recent_trace_ids.hpp
@@ -3,25 +3,52 @@
 // RequestTable.
 #pragma once
 
+#include <boost/intrusive/unordered_set.hpp>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <string>
-#include <unordered_set>
+#include <vector>
 
 namespace quota_gateway::net {
 
-// Remembers the latest kMaxIds ids, each by a hash of 64 bits.
+// Remembers the latest kMaxIds ids, each by a hash of 64 bits. All memory is allocated at
+// construction, in two blocks: an id is not lost for lack of memory, and no small blocks that
+// outlive their requests keep the pages between them from being returned to the system.
 class RecentTraceIds {
  public:
   static constexpr std::size_t kMaxIds = 16'384;
 
-  void add(const std::string& trace_id);
-  bool contains(const std::string& trace_id) const;
+  // Throws std::bad_alloc.
+  RecentTraceIds();
+  RecentTraceIds(const RecentTraceIds&) = delete;
+  RecentTraceIds& operator=(const RecentTraceIds&) = delete;
+
+  // Forgets the oldest id if there are kMaxIds others.
+  void add(const std::string& trace_id) noexcept;
+  bool contains(const std::string& trace_id) const noexcept;
 
  private:
-  std::unordered_set<std::uint64_t> hashes_;
-  std::deque<std::uint64_t> oldest_first_;
+  using Link = boost::intrusive::link_mode<boost::intrusive::normal_link>;
+  struct Id : boost::intrusive::unordered_set_base_hook<Link> {
+    explicit Id(std::uint64_t id_hash) : hash(id_hash) {}
+    std::uint64_t hash;
+  };
+  struct HashOfId {
+    using type = std::uint64_t;
+    const type& operator()(const Id& id) const { return id.hash; }
+  };
+  // The hashes are spread evenly already.
+  struct SameHash {
+    std::size_t operator()(std::uint64_t hash) const { return hash; }
+  };
+  using IdSet = boost::intrusive::unordered_set<Id, boost::intrusive::key_of_value<HashOfId>,
+                                                boost::intrusive::hash<SameHash>,
+                                                boost::intrusive::power_2_buckets<true>>;
+
+  std::vector<IdSet::bucket_type> buckets_;
+  std::vector<Id> ids_;  // a ring once it is full; never reallocated
+  std::size_t oldest_ = 0;
+  IdSet set_;  // of `ids_`
 };
 
 }  // namespace quota_gateway::net
