--- a/src/net/server/recent_trace_ids.cpp
+++ b/src/net/server/recent_trace_ids.cpp
@@ -10,23 +10,23 @@
 }
 
 void RecentTraceIds::add(const std::string& trace_id) noexcept {
-  const std::uint64_t hash = hash_text(trace_id);
-  if (set_.find(hash) != set_.end()) {
+  const Id added(hash_text(trace_id));
+  if (contains(added)) {
     return;
   }
   if (ids_.size() < kMaxIds) {
-    set_.insert(ids_.emplace_back(hash));
+    set_.insert(ids_.emplace_back(added));
     return;
   }
   Id& id = ids_[oldest_];
   set_.erase(set_.iterator_to(id));
-  id.hash = hash;
+  id.hash = added.hash;
   set_.insert(id);
   oldest_ = (oldest_ + 1) % kMaxIds;
 }
 
 bool RecentTraceIds::contains(const std::string& trace_id) const noexcept {
-  return set_.find(hash_text(trace_id)) != set_.end();
+  return contains(Id(hash_text(trace_id)));
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/server/recent_trace_ids.hpp
+++ b/src/net/server/recent_trace_ids.hpp
@@ -31,20 +31,18 @@
   using Link = boost::intrusive::link_mode<boost::intrusive::normal_link>;
   struct Id : boost::intrusive::unordered_set_base_hook<Link> {
     explicit Id(std::uint64_t id_hash) : hash(id_hash) {}
+    friend bool operator==(const Id& left, const Id& right) { return left.hash == right.hash; }
     std::uint64_t hash;
   };
-  struct HashOfId {
-    using type = std::uint64_t;
-    const type& operator()(const Id& id) const { return id.hash; }
-  };
   // The hashes are spread evenly already.
-  struct SameHash {
-    std::size_t operator()(std::uint64_t hash) const { return hash; }
+  struct HashOfId {
+    std::size_t operator()(const Id& id) const { return id.hash; }
   };
-  using IdSet = boost::intrusive::unordered_set<Id, boost::intrusive::key_of_value<HashOfId>,
-                                                boost::intrusive::hash<SameHash>,
+  using IdSet = boost::intrusive::unordered_set<Id, boost::intrusive::hash<HashOfId>,
                                                 boost::intrusive::power_2_buckets<true>>;
 
+  bool contains(const Id& id) const { return set_.find(id) != set_.end(); }
+
   std::vector<IdSet::bucket_type> buckets_;
   std::vector<Id> ids_;  // a ring once it is full; never reallocated
   std::size_t oldest_ = 0;
