--- a/src/net/server/gateway_server.hpp
+++ b/src/net/server/gateway_server.hpp
@@ -52,13 +52,13 @@
   void reload(const GatewayConfig& config);
   // Counts a reload that failed.
   void on_reload_rejected();
-  // Shuts down gracefully: continues to accept clients, answers every request before the process
-  // may be killed, then calls `on_drained` once.
   // Takes up what an exception has interrupted, and counts it. Runs every 100 ms by a timer, and is
   // to be called after an exception that has left a handler.
   void resume_work();
   // Whether the timers work. If not, the caller must call resume_work() at intervals.
   bool has_timers() const { return timers_.is_wakeup_set(); }
+  // Shuts down gracefully: continues to accept clients, answers every request before the process
+  // may be killed, then calls `on_drained` once.
   void drain(std::function<void()> on_drained);
 
   // Whether the gateway serves clients: it accepts them, is not shutting down, and its first
