--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -86,6 +86,10 @@
   // being received or answered, or a client that may not have read its last response.
   bool is_idle();
 
+  // Number of segments from clients that the kernel has dropped because the receive buffer was
+  // full, on connections that are closed by now. The end of such a connection is seen late.
+  std::uint64_t dropped_input_segments() const { return context_.dropped_input_segments; }
+
   // Takes up again what an exception has interrupted: accepting, and reading of sessions. Returns
   // the number of these.
   std::size_t resume();
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -609,6 +609,7 @@
   if (output_.is_incomplete()) {
     set_reset_on_close(socket_);
   }
+  context_.dropped_input_segments += dropped_segments(socket_);
   error_code ignored;
   socket_.close(ignored);
   if (request_) {
--- a/src/net/client/client_session_context.hpp
+++ b/src/net/client/client_session_context.hpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 
 #include "net/client/client_callbacks.hpp"
 #include "net/client/session_close.hpp"
@@ -38,6 +39,8 @@
   ClientListenerCallbacks callbacks;
   BufferLimits buffer_limits;
   UnansweredRequestLog unanswered_requests = {};
+  // Segments that the kernel dropped on connections that are closed by now.
+  std::uint64_t dropped_input_segments = 0;
   bool draining = false;  // the gateway is shutting down; each response closes its connection
   // Another process accepts new clients. Each response closes its connection, so that the client
   // reconnects to that process.
--- a/src/net/client/socket_status.cpp
+++ b/src/net/client/socket_status.cpp
@@ -1,10 +1,12 @@
 #include "net/client/socket_status.hpp"
 
+#include <linux/sock_diag.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/system/error_code.hpp>
 #include <vector>
 
@@ -50,6 +52,15 @@
   return polls_ready(socket.native_handle(), POLLRDHUP);
 }
 
+std::uint32_t dropped_segments(boost::asio::ip::tcp::socket& socket) {
+  std::array<std::uint32_t, SK_MEMINFO_VARS> values{};
+  socklen_t size = sizeof values;
+  const int failed =
+      ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_MEMINFO, values.data(), &size);
+  const bool is_told = failed == 0 && size > SK_MEMINFO_DROPS * sizeof(std::uint32_t);
+  return is_told ? values[SK_MEMINFO_DROPS] : 0;
+}
+
 bool has_pending_connection(boost::asio::ip::tcp::acceptor& acceptor) {
   return polls_ready(acceptor.native_handle(), POLLIN);
 }
--- a/src/net/client/socket_status.hpp
+++ b/src/net/client/socket_status.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <span>
 #include <string>
 
@@ -24,6 +25,10 @@
 // bytes have not been read.
 bool has_peer_closed(boost::asio::ip::tcp::socket& socket);
 
+// Number of segments that the kernel has dropped on their way into the socket's receive buffer. The
+// peer's system sends them again, 200 ms later or more. 0 if the kernel does not tell.
+std::uint32_t dropped_segments(boost::asio::ip::tcp::socket& socket);
+
 // Whether a connection waits to be accepted.
 bool has_pending_connection(boost::asio::ip::tcp::acceptor& acceptor);
 
--- a/src/net/server/attempt_reporter.cpp
+++ b/src/net/server/attempt_reporter.cpp
@@ -39,6 +39,7 @@
   Request& request = entry->second;
   Attempt& attempt = request.attempt(key.attempt);
   attempt.in_flight = false;
+  request.timeline.add(RequestStep::kAttemptEnded, loop_.clock.now(), int(result.outcome));
   --request.attempts_in_flight;
   request.is_run_possible = request.is_run_possible || may_have_run(result.outcome);
   request.last_attempt_timed_out = result.outcome == Outcome::kTimeout;
--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -72,7 +72,7 @@
       gateway_(config.settings, config.seed),
       events_(loop_, gateway_, executor_),
       executor_(loop_, events_, dispatcher_),
-      finisher_(requests_, clients_, stats_),
+      finisher_(clock_, requests_, clients_, stats_),
       reporter_(loop_, requests_, events_),
       deadlines_(loop_, {settings_, requests_, clients_, events_, finisher_, reporter_},
                  expiry_callback()),
@@ -241,7 +241,11 @@
   memory.refused_allocations = memory_.refused_allocations();
   memory.failed_allocations = memory_.failed_allocations();
   memory.reserve_used_bytes = memory_.reserve().used_bytes;
-  return stats_.render(endpoints, upstream, memory, guard_.violations());
+  RequestCounts requests;
+  requests.violations = guard_.violations();
+  requests.undecided = deadlines_.undecided();
+  requests.dropped_input_segments = clients_.dropped_input_segments();
+  return stats_.render(endpoints, upstream, memory, requests);
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/server/gateway_stats.cpp
+++ b/src/net/server/gateway_stats.cpp
@@ -59,7 +59,7 @@
 }
 
 std::string GatewayStats::render(const EndpointCounts& endpoints, const UpstreamCounts& upstream,
-                                 const MemoryCounts& memory, std::uint64_t violations) const {
+                                 const MemoryCounts& memory, const RequestCounts& requests) const {
   std::string text;
   for (const auto& [request_class, counts] : responses_by_class_) {
     append_line(text, "replies." + request_class + ".success", counts.success);
@@ -72,7 +72,9 @@
   append_line(text, "targets_disabled", endpoints.unavailable);
   append_line(text, "reload_success", reloads_applied_);
   append_line(text, "reload_failure", reloads_rejected_);
-  append_line(text, "violations", violations);
+  append_line(text, "violations", requests.violations);
+  append_line(text, "undecided", requests.undecided);
+  append_line(text, "clients.dropped_segments", requests.dropped_input_segments);
   append_line(text, "resumed", resumed_work_);
   append_upstream(text, upstream);
   append_line(text, "memory.used", memory.used_bytes);
--- a/src/net/server/gateway_stats.hpp
+++ b/src/net/server/gateway_stats.hpp
@@ -43,6 +43,13 @@
   std::size_t unavailable = 0;  // draining, or failed and without a response since
 };
 
+// What has gone wrong with requests and their connections.
+struct RequestCounts {
+  std::uint64_t violations = 0;  // see RequestGuard
+  std::uint64_t undecided = 0;   // failed because the decision module had not ended them in time
+  std::uint64_t dropped_input_segments = 0;  // see ClientListener
+};
+
 // Connections to servers.
 struct UpstreamCounts {
   ConnectionCounts connections;
@@ -69,7 +76,7 @@
 
   // All metrics, one line each: `app.NAME=VALUE`.
   std::string render(const EndpointCounts& endpoints, const UpstreamCounts& upstream,
-                     const MemoryCounts& memory, std::uint64_t violations) const;
+                     const MemoryCounts& memory, const RequestCounts& requests) const;
 
  private:
   std::map<std::string, ResponseCounts> responses_by_class_;
--- a/src/net/server/message_streamer.cpp
+++ b/src/net/server/message_streamer.cpp
@@ -84,6 +84,7 @@
     return reporter_.report_complete(entry, key, result);
   }
   request.response_started = true;
+  request.timeline.add(RequestStep::kResponseStarted, clock_.now());
   // Read before the report, which removes the request if its client has disconnected.
   const ClientId client = request.client;
   reporter_.report_complete(entry, key, result);
--- a/src/net/server/request_deadlines.cpp
+++ b/src/net/server/request_deadlines.cpp
@@ -92,6 +92,7 @@
   if (entry == requests_.end() || entry->second.finished || entry->second.response_started) {
     return;
   }
+  ++undecided_;
   std::cerr << "request " << id
             << " failed: the decision module made no decision by its deadline\n";
   fail_unanswered(id);
--- a/src/net/server/request_deadlines.hpp
+++ b/src/net/server/request_deadlines.hpp
@@ -67,6 +67,8 @@
   // Answers the requests whose decision check is overdue, which an exception may have prevented.
   // Returns their number.
   std::size_t resume();
+  // Number of requests that were failed because the decision module had not ended them in time.
+  std::uint64_t undecided() const { return undecided_; }
 
   // ---- For the shutdown
   // Limits every deadline that is set from now on to `latest`.
@@ -93,6 +95,7 @@
   RequestFinisher& finisher_;
   AttemptReporter& reporter_;
   std::function<void(AttemptKey, AttemptResult)> on_attempt_expired_;
+  std::uint64_t undecided_ = 0;
   std::optional<Micros> latest_deadline_;  // none: no shutdown has begun
 };
 
--- a/src/net/server/request_dispatcher.cpp
+++ b/src/net/server/request_dispatcher.cpp
@@ -62,6 +62,7 @@
   const Micros now = loop_.clock.now();
   RequestArrived& arrived = accepted.arrived;
   request.client = client;
+  request.timeline.add(RequestStep::kReceived, now);
   request.idempotent = accepted.idempotent;
   request.may_run_again = accepted.may_run_again;
   request.response_counts = &stats_.on_request_started(arrived.request_class);
@@ -108,6 +109,9 @@
     return;
   }
   Request& request = entry->second;
+  if (!request.finished) {
+    request.timeline.add(RequestStep::kClientLeft, loop_.clock.now());
+  }
   if (!finisher_.try_finish(request, RequestOutcome::kError)) {
     return;
   }
@@ -155,8 +159,15 @@
 
 bool RequestDispatcher::may_begin_attempt(AttemptKey key) {
   const auto entry = requests_.find(key.request);
-  return entry != requests_.end() && !entry->second.finished &&
-         guard_.may_begin(entry->second, key) && clients_.check_connected(entry->second.client);
+  if (entry == requests_.end() || entry->second.finished) {
+    return false;
+  }
+  Request& request = entry->second;
+  if (!guard_.may_begin(request, key) || !clients_.check_connected(request.client)) {
+    return false;
+  }
+  request.timeline.add(RequestStep::kAttemptBegun, loop_.clock.now());
+  return true;
 }
 
 void RequestDispatcher::on_attempt_written(AttemptKey key) {
@@ -164,6 +175,7 @@
   const auto entry = requests_.find(key.request);
   if (entry != requests_.end()) {
     entry->second.may_have_run = true;
+    entry->second.timeline.add(RequestStep::kAttemptWritten, loop_.clock.now());
   }
   streamer_.on_request_written(key);
 }
@@ -184,6 +196,7 @@
   attempt.endpoint = action.server;
   attempt.sent_at = now;
   ++request.attempts_in_flight;
+  request.timeline.add(RequestStep::kAttemptSent, now, key.attempt);
   if (deadline <= now || !may_send(request)) {
     boost::asio::post(loop_.io, [this, key] {
       on_attempt_complete(key, result_without_response(Outcome::kNotSent));
--- a/src/net/server/request_finisher.cpp
+++ b/src/net/server/request_finisher.cpp
@@ -21,9 +21,9 @@
 
 }  // namespace
 
-RequestFinisher::RequestFinisher(RequestTable& requests, ClientListener& clients,
-                                 GatewayStats& stats)
-    : requests_(requests), clients_(clients), stats_(stats) {}
+RequestFinisher::RequestFinisher(const Clock& clock, RequestTable& requests,
+                                 ClientListener& clients, GatewayStats& stats)
+    : clock_(clock), requests_(requests), clients_(clients), stats_(stats) {}
 
 bool RequestFinisher::try_finish(Request& request, RequestOutcome outcome) {
   if (request.finished) {
@@ -33,10 +33,16 @@
   if (request.response_counts != nullptr) {  // else an exception has prevented the count
     stats_.on_request_finished(*request.response_counts, outcome);
   }
+  if (outcome == RequestOutcome::kError) {
+    log_.on_failed(request, clock_.now());
+  }
   return true;
 }
 
 void RequestFinisher::answer(Request& request, const ClientResponse& response) {
+  if (!request.finished) {
+    request.timeline.add(RequestStep::kAnswered, clock_.now(), response.status);
+  }
   if (try_finish(request, outcome_of(response.status))) {
     clients_.respond(request.client, response);
   }
--- a/src/net/server/request_table.cpp
+++ b/src/net/server/request_table.cpp
@@ -12,6 +12,7 @@
   }
   const std::uint64_t id = ++last_id_;
   const auto added = requests_.try_emplace(id).first;
+  added->second.id = id;
   try {
     open_trace_ids_.insert(trace_id);
   } catch (...) {
--- a/src/net/server/request_table.hpp
+++ b/src/net/server/request_table.hpp
@@ -14,6 +14,7 @@
 #include "net/http/forwarded_request.hpp"
 #include "net/server/gateway_stats.hpp"
 #include "net/server/recent_trace_ids.hpp"
+#include "net/server/request_timeline.hpp"
 #include "net/upstream/attempt_handle.hpp"
 #include "quota_gateway/gateway.hpp"
 
@@ -34,6 +35,7 @@
 };
 
 struct Request {
+  std::uint64_t id = 0;
   ClientId client = 0;
   // Counts of the request's class, to which its outcome is added.
   ResponseCounts* response_counts = nullptr;
@@ -64,6 +66,7 @@
   Timers::Handle decision_check;
   ForwardedRequest forwarded;
   std::vector<Attempt> attempts;
+  RequestTimeline timeline;
 
   int latest_attempt() const { return int(attempts.size()) - 1; }
   Attempt& attempt(int index) { return attempts.at(std::size_t(index)); }
