--- a/tests/net/server/late_connection_test.cpp
+++ b/tests/net/server/late_connection_test.cpp
@@ -81,6 +81,24 @@
   EXPECT_EQ(server1.requests.size() + server2.requests.size(), 0U);
 }
 
+// Guards against an attempt that begins after its client has left in the middle of an upload: the
+// part that nobody reads must not keep the end of the connection from arriving.
+TEST_F(LateConnections, NoAttemptBeginsAfterItsClientHasLeftDuringItsUpload) {
+  bool has_begun = false;
+  for (FakeServer* server : {&server1, &server2}) {
+    server->on_incomplete_request = [&](PeerConnection&, const std::string&) { has_begun = true; };
+  }
+  start();
+  Client client = test_bed.client();
+  client.send(post_head("Content-Length: 400000") + std::string(250'000, 'u'));
+  ASSERT_TRUE(run_until_connecting());
+  client.socket.close();
+  delay_event_loop(std::chrono::milliseconds(150));
+  const Micros end = Clock().now() + 400'000;
+  ASSERT_TRUE(test_bed.run_until([&] { return Clock().now() >= end; }));
+  EXPECT_FALSE(has_begun);
+}
+
 // Guards against an attempt that begins after its client has left, where attempts must not be
 // cancelled (REPORT-2.md of the review). The connection never comes up: the queue of the listening
 // socket is full.
