--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -10,6 +10,7 @@
 #include "net/client/socket_status.hpp"
 #include "net/event_loop/exception_guard.hpp"
 #include "net/system_call/register_descriptor.hpp"
+#include "net/system_call/socket_options.hpp"
 
 namespace quota_gateway::net {
 namespace {
@@ -20,6 +21,9 @@
 
 // The maximum number of clients divided by this may be idle between requests.
 constexpr std::size_t kIdleSessionsDivisor = 3;
+// Room for the input that sessions leave unread. If it were full, the system would drop what
+// follows, and a session would learn 200 ms later or more that its client has left.
+constexpr int kReceiveBufferBytes = 512 << 10;
 constexpr Micros kTimeoutCheckInterval = 250'000;  // us
 
 }  // namespace
@@ -41,8 +45,10 @@
   error_code ec;
   error_code ignored;
   acceptor_.open(address.protocol(), ec);
+  is_receive_buffer_set_ = false;
   if (!ec) {
     acceptor_.set_option(tcp::acceptor::reuse_address(true), ignored);
+    ensure_receive_buffer();
     // Another process of this gateway that could not be asked for its socket may still listen at
     // this address. With SO_REUSEPORT both processes listen, each with its own accept queue.
     const int enabled = 1;
@@ -80,8 +86,16 @@
   connections_.stop();
 }
 
+// Connections take the size over from the listening socket. It is set again if that has failed.
+void ClientListener::ensure_receive_buffer() {
+  if (!is_receive_buffer_set_) {
+    is_receive_buffer_set_ = set_receive_buffer(acceptor_, kReceiveBufferBytes);
+  }
+}
+
 void ClientListener::accept() {
   if (is_accepting_) {
+    ensure_receive_buffer();
     connections_.accept_next();
   }
 }
--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -100,6 +100,7 @@
   std::size_t allocated_input_bytes() const override;
 
   void accept();
+  void ensure_receive_buffer();
   void on_accepted(boost::asio::ip::tcp::socket socket);
   void start_session(boost::asio::ip::tcp::socket socket);
   bool evict_if_over_limit();
@@ -113,6 +114,7 @@
   SessionTable sessions_;
   ClientId last_client_ = 0;
   bool is_accepting_ = false;
+  bool is_receive_buffer_set_ = false;
 };
 
 }  // namespace quota_gateway::net
--- a/src/net/system_call/socket_options.cpp
+++ b/src/net/system_call/socket_options.cpp
@@ -9,7 +9,19 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr int kMaxResetOptionCalls = 16;
+constexpr int kMaxOptionCalls = 16;
+
+template <typename Socket, typename Option>
+bool set_repeatedly(Socket& socket, const Option& option) {
+  for (int call = 0; call < kMaxOptionCalls; ++call) {
+    error_code ec;
+    socket.set_option(option, ec);
+    if (!ec) {
+      return true;
+    }
+  }
+  return false;
+}
 
 }  // namespace
 
@@ -22,15 +34,12 @@
   is_set_ = !ec;
 }
 
+bool set_receive_buffer(tcp::acceptor& acceptor, int bytes) {
+  return set_repeatedly(acceptor, boost::asio::socket_base::receive_buffer_size(bytes));
+}
+
 bool set_reset_on_close(tcp::socket& socket) {
-  for (int call = 0; call < kMaxResetOptionCalls; ++call) {
-    error_code ec;
-    socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
-    if (!ec) {
-      return true;
-    }
-  }
-  return false;
+  return set_repeatedly(socket, boost::asio::socket_base::linger(true, 0));
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/system_call/socket_options.hpp
+++ b/src/net/system_call/socket_options.hpp
@@ -20,6 +20,10 @@
   bool is_set_ = false;
 };
 
+// Sets the size of the receive buffer (SO_RCVBUF) of connections that are accepted from now on. The
+// system may allow less. Repeats a call that fails, some times. Returns whether the option is set.
+bool set_receive_buffer(boost::asio::ip::tcp::acceptor& acceptor, int bytes);
+
 // Makes the next close() reset the connection (SO_LINGER with a time of 0). Repeats a call that
 // fails, some times. Returns whether the option is set.
 bool set_reset_on_close(boost::asio::ip::tcp::socket& socket);
