--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -216,6 +216,7 @@
   resume([this] { return std::size_t(executor_.resume_counter()); });
   resume([this] { return std::size_t(endpoint_lists_.resume()); });
   resume([this] { return std::size_t(admin_ && admin_->resume()); });
+  resume([this] { return std::size_t(resume_owner_()); });
   stats_.on_work_resumed(resumed);
 }
 
--- a/src/net/server/gateway_server.hpp
+++ b/src/net/server/gateway_server.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "net/admin/admin_server.hpp"
 #include "net/client/client_listener.hpp"
@@ -55,6 +56,8 @@
   // Takes up what an exception has interrupted, and counts it. Runs every 100 ms by a timer, and is
   // to be called after an exception that has left a handler.
   void resume_work();
+  // Makes resume_work() also call `resume`, which returns whether it has taken something up.
+  void resume_with(std::function<bool()> resume) { resume_owner_ = std::move(resume); }
   // Whether the timers work. If not, the caller must call resume_work() at intervals.
   bool has_timers() const { return timers_.is_wakeup_set(); }
   // Shuts down gracefully: continues to accept clients, answers every request before the process
@@ -104,6 +107,7 @@
   HandoverCoordinator handover_;
   ShutdownCoordinator shutdown_;
   std::optional<AdminServer> admin_;
+  std::function<bool()> resume_owner_ = [] { return false; };
 };
 
 }  // namespace quota_gateway::net
--- a/src/net/server/main.cpp
+++ b/src/net/server/main.cpp
@@ -28,7 +28,7 @@
 // Logs an exception that leaves a handler and continues: it would otherwise end the process with
 // all requests in flight. Without timers nothing would look for interrupted work, so this loop
 // does. run_for() costs more for each handler than run(), so it is used only then.
-void run_until_stopped(boost::asio::io_context& io, GatewayServer& server, SignalHandler& signals) {
+void run_until_stopped(boost::asio::io_context& io, GatewayServer& server) {
   while (!io.stopped()) {
     run_and_log_exceptions("exception in the event loop", [&] {
       if (server.has_timers()) {
@@ -38,7 +38,6 @@
       }
     });
     run_and_log_exceptions("resuming work", [&] { server.resume_work(); });
-    run_and_log_exceptions("resuming work", [&] { signals.resume(); });
   }
 }
 
@@ -59,8 +58,9 @@
     server.drain([&io] { io.stop(); });
   };
   signals.start({drain, [&reloader] { reloader.start(); }});
+  server.resume_with([&signals] { return signals.resume(); });
   std::cerr << name << ": ready\n";
-  run_until_stopped(io, server, signals);
+  run_until_stopped(io, server);
 }
 
 }  // namespace
--- a/src/net/server/shutdown_coordinator.cpp
+++ b/src/net/server/shutdown_coordinator.cpp
@@ -34,23 +34,29 @@
 
 void ShutdownCoordinator::start(const std::vector<ClassSettings>& classes,
                                 std::function<void()> on_drained) {
-  if (is_started()) {
+  if (is_begun_) {
     return;
   }
-  on_drained_ = std::move(on_drained);
-  const Micros deadline = loop_.clock.now() + time_until_kill(classes) - kMarginBeforeKill;
-  deadline_ = deadline;
+  if (!is_started()) {
+    on_drained_ = std::move(on_drained);
+    deadline_ = loop_.clock.now() + time_until_kill(classes) - kMarginBeforeKill;
+  }
+  const Micros deadline = *deadline_;
   deadlines_.set_latest_deadline(deadline);
   clients_.drain();
   loop_.timers.after(kMinDrainTime, [this, deadline] { check_drained(deadline); });
   loop_.timers.at(deadline, [this] { deadlines_.expire_attempts(); });
   loop_.timers.at(deadline + kDecisionGrace, [this] { deadlines_.fail_unfinished_requests(); });
+  is_begun_ = true;
 }
 
 void ShutdownCoordinator::check_drained(Micros deadline) {
+  if (!on_drained_) {
+    return;  // called already
+  }
   const bool drained = requests_.all_finished() && clients_.is_idle();
   if (drained || loop_.clock.now() >= deadline + kFinalResponseTime) {
-    on_drained_();
+    std::exchange(on_drained_, nullptr)();
     return;
   }
   loop_.timers.after(kCheckInterval, [this, deadline] { check_drained(deadline); });
--- a/src/net/server/shutdown_coordinator.hpp
+++ b/src/net/server/shutdown_coordinator.hpp
@@ -21,7 +21,7 @@
 
   // Starts the shutdown and calls `on_drained` once, from a timer. The longest deadline of
   // `classes` determines when the process may be killed. Has no effect if the shutdown has begun
-  // already.
+  // already. After an exception the shutdown has begun in part; another call completes that.
   void start(const std::vector<ClassSettings>& classes, std::function<void()> on_drained);
   bool is_started() const { return deadline_.has_value(); }
 
@@ -34,6 +34,7 @@
   ClientListener& clients_;
   std::function<void()> on_drained_;
   std::optional<Micros> deadline_;  // latest of all attempts; none: not started
+  bool is_begun_ = false;           // each step of start() was completed
 };
 
 }  // namespace quota_gateway::net
--- a/src/net/server/signal_handler.cpp
+++ b/src/net/server/signal_handler.cpp
@@ -38,20 +38,29 @@
     if (error) {
       return;
     }
+    (signal == SIGHUP ? is_hang_up_pending_ : is_termination_pending_) = true;
     run_and_log_exceptions("signals", [this] { wait(); });
-    if (signal == SIGHUP) {
-      callbacks_.on_hang_up();
-    } else {
-      callbacks_.on_terminate();
-    }
+    call_pending_callbacks();
   });
   is_waiting_ = true;
 }
 
-void SignalHandler::resume() {
+void SignalHandler::call_pending_callbacks() {
+  if (is_termination_pending_) {
+    is_termination_pending_ = !run_and_log_exceptions("signals", callbacks_.on_terminate);
+  }
+  if (is_hang_up_pending_) {
+    is_hang_up_pending_ = !run_and_log_exceptions("signals", callbacks_.on_hang_up);
+  }
+}
+
+bool SignalHandler::resume() {
+  const bool was_interrupted = !is_waiting_ || is_termination_pending_ || is_hang_up_pending_;
   if (!is_waiting_) {
     wait();
   }
+  call_pending_callbacks();
+  return was_interrupted;
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/server/signal_handler.hpp
+++ b/src/net/server/signal_handler.hpp
@@ -29,15 +29,20 @@
   };
   // Starts to report signals. A callback is called from the event loop once per signal.
   void start(Callbacks callbacks);
-  // Waits for signals again if an exception has interrupted that.
-  void resume();
+  // Waits for signals again, and calls the callbacks again, if an exception has interrupted that.
+  // Returns whether it had.
+  bool resume();
 
  private:
   void wait();
+  void call_pending_callbacks();
 
   boost::asio::signal_set signals_;
   Callbacks callbacks_;
   bool is_waiting_ = false;
+  // The signal has arrived, and no call of its callback has been completed since.
+  bool is_termination_pending_ = false;
+  bool is_hang_up_pending_ = false;
 };
 
 }  // namespace quota_gateway::net
