--- a/src/net/server/request_finisher.cpp
+++ b/src/net/server/request_finisher.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/beast/http/status.hpp>
 
+#include "net/event_loop/exception_guard.hpp"
+
 namespace quota_gateway::net {
 namespace {
 
@@ -34,7 +36,8 @@
     stats_.on_request_finished(*request.response_counts, outcome);
   }
   if (outcome == RequestOutcome::kError) {
-    log_.on_failed(request, clock_.now());
+    run_and_log_exceptions("log of failed requests",
+                           [&] { log_.on_failed(request, clock_.now()); });
   }
   return true;
 }
