--- a/tests/support/memory_load.cpp
+++ b/tests/support/memory_load.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <optional>
 #include <string_view>
 #include <utility>
 
 #include "support/http_messages.hpp"
 #include "support/listed_endpoints.hpp"
+#include "support/socket_table.hpp"
 
 namespace quota_gateway::net::testing {
 namespace {
@@ -327,6 +329,9 @@
   std::string text;
   std::array<char, 512> answer{};
   std::chrono::steady_clock::time_point sent_at;
+  std::chrono::steady_clock::time_point watched_at;  // when gateway_socket was last found
+  std::optional<SocketEntry> gateway_socket;         // the gateway's end of the connection
+  std::chrono::steady_clock::time_point unread_at;   // when it last had unread bytes
   bool is_connected = false;
   bool is_done = false;
 };
@@ -386,17 +391,50 @@
   request.socket.close(ignored);
 }
 
+// Whether and when the gateway has read the request, as far as the probe has looked.
+std::string LoadProbe::describe_gateway_socket(const Request& request) {
+  if (!request.gateway_socket) {
+    return "; the gateway's socket was not found";
+  }
+  const auto since_sent = [&request](std::chrono::steady_clock::time_point time) {
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(time - request.sent_at);
+    return std::to_string(std::max(milliseconds(0), elapsed).count()) + " ms";
+  };
+  const SocketEntry& socket = *request.gateway_socket;
+  return "; at " + since_sent(request.watched_at) + " the gateway's socket was " +
+         (socket.is_accepted ? "accepted" : "not accepted") + " with " +
+         std::to_string(socket.unread_bytes) + " bytes unread; it was last seen unread at " +
+         since_sent(request.unread_at);
+}
+
 void LoadProbe::on_failed(Request& request, const std::string& reason) {
   const auto since_sent =
       std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - request.sent_at);
   ++unanswered_;
   failures_ += "request " + std::to_string(request.number) + ": " + reason + " after " +
-               std::to_string(since_sent.count()) + " ms\n";
+               std::to_string(since_sent.count()) + " ms" + describe_gateway_socket(request) + "\n";
+}
+
+void LoadProbe::watch_gateway_socket(Request& request) const {
+  error_code ec;
+  const tcp::endpoint client = request.socket.local_endpoint(ec);
+  const auto found = ec ? std::nullopt : find_socket(gateway_, client);
+  if (!found) {
+    return;
+  }
+  request.watched_at = std::chrono::steady_clock::now();
+  request.gateway_socket = found;
+  if (found->unread_bytes > 0 || !found->is_accepted) {
+    request.unread_at = request.watched_at;
+  }
 }
 
 void LoadProbe::expire() {
   const auto now = std::chrono::steady_clock::now();
   for (const auto& request : open_) {
+    if (!request->is_done) {
+      watch_gateway_socket(*request);
+    }
     if (!request->is_done && now - request->sent_at > kMaxAnswerTime) {
       request->is_done = true;
       on_failed(*request, "no answer");
--- a/tests/support/memory_load.hpp
+++ b/tests/support/memory_load.hpp
@@ -135,6 +135,8 @@
   void on_answered(Request& request, std::size_t size);
   void on_failed(Request& request, const std::string& reason);
   void expire();
+  void watch_gateway_socket(Request& request) const;
+  static std::string describe_gateway_socket(const Request& request);
 
   asio::io_context& io_;
   const tcp::endpoint gateway_;
