--- a/tests/net/server/late_connection_test.cpp
+++ b/tests/net/server/late_connection_test.cpp
@@ -83,6 +83,20 @@
   EXPECT_EQ(server1.requests.size() + server2.requests.size(), 0U);
 }
 
+// Guards against an answer after the client's time: the time of a request counts from its arrival,
+// also if the event loop reads it late.
+TEST_F(LateConnections, ARequestThatIsReadLateIsAnsweredInItsTime) {
+  constexpr Micros kLatestAnswer = 1'500'000;  // its time and 0.5 s
+  server1.on_request = server2.on_request = [](PeerConnection&, const HttpRequest&) {};
+  start();
+  Client client = test_bed.client();
+  client.send(post_request("t", "1000m"));
+  const Micros sent_at = Clock().now();
+  delay_event_loop(std::chrono::milliseconds(900));
+  EXPECT_NE(status(client), 0);
+  EXPECT_LT(Clock().now() - sent_at, kLatestAnswer);
+}
+
 // Guards against an end of a connection that comes 200 ms late: while a system lacks memory for
 // TCP, it sends the end at once only if all bytes before it are acknowledged.
 TEST_F(LateConnections, ARequestIsAcknowledgedAsSoonAsItIsRead) {
