--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -137,8 +137,7 @@
     return reject_for_lack_of_memory();
   }
   if (!is_in(SessionState::kClosing)) {
-    const Micros arrived_at = context_.clock.now() - time_since_arrival(socket_);
-    reader_.append_input(context_.read_buffer.data(), size, arrived_at);
+    reader_.append_input(context_.read_buffer.data(), size, context_.clock.now());
   }
   if (may_parse()) {
     parse_input();
--- a/src/net/client/socket_status.cpp
+++ b/src/net/client/socket_status.cpp
@@ -1,8 +1,6 @@
 #include "net/client/socket_status.hpp"
 
 #include <linux/sock_diag.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
@@ -54,14 +52,6 @@
   return polls_ready(socket.native_handle(), POLLRDHUP);
 }
 
-Micros time_since_arrival(boost::asio::ip::tcp::socket& socket) {
-  constexpr Micros kMicrosPerMillisecond = 1'000;
-  tcp_info info{};
-  socklen_t size = sizeof info;
-  const int failed = ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
-  return failed == 0 ? Micros(info.tcpi_last_data_recv) * kMicrosPerMillisecond : 0;
-}
-
 std::uint32_t dropped_segments(boost::asio::ip::tcp::socket& socket) {
   std::array<std::uint32_t, SK_MEMINFO_VARS> values{};
   socklen_t size = sizeof values;
--- a/src/net/client/socket_status.hpp
+++ b/src/net/client/socket_status.hpp
@@ -8,8 +8,6 @@
 #include <span>
 #include <string>
 
-#include "quota_gateway/time.hpp"
-
 namespace quota_gateway::net {
 
 // Whether the socket has received bytes that have not been read. False also for a lost connection.
@@ -27,10 +25,6 @@
 // bytes have not been read.
 bool has_peer_closed(boost::asio::ip::tcp::socket& socket);
 
-// Time since the latest bytes arrived in the kernel, whether they were read or not, in steps of
-// some milliseconds. It does not depend on the wall clock. 0 if the kernel does not tell.
-Micros time_since_arrival(boost::asio::ip::tcp::socket& socket);
-
 // Number of segments that the kernel has dropped on their way into the socket's receive buffer. The
 // peer's system sends them again, 200 ms later or more. 0 if the kernel does not tell.
 std::uint32_t dropped_segments(boost::asio::ip::tcp::socket& socket);
