--- a/src/net/client/client_session_context.hpp
+++ b/src/net/client/client_session_context.hpp
@@ -8,6 +8,7 @@
 
 #include "net/client/client_callbacks.hpp"
 #include "net/client/session_close.hpp"
+#include "net/event_loop/event_loop_lag.hpp"
 #include "net/event_loop/timers.hpp"
 #include "net/http/buffer_limits.hpp"
 #include "net/memory/memory_budget.hpp"
@@ -38,6 +39,7 @@
   MemoryBudget& memory;
   ClientListenerCallbacks callbacks;
   BufferLimits buffer_limits;
+  EventLoopLag event_loop_lag{timers, clock};
   UnansweredRequestLog unanswered_requests = {};
   // Segments that the kernel dropped on connections that are closed by now.
   std::uint64_t dropped_input_segments = 0;
--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -246,7 +246,9 @@
   requests.violations = guard_.violations();
   requests.undecided = deadlines_.undecided();
   requests.dropped_input_segments = clients_.dropped_input_segments();
-  return stats_.render(endpoints, upstream, memory, requests);
+  const EventLoopLag& lag = clients_.event_loop_lag();
+  const EventLoopCounts event_loop{.delays = lag.delays(), .max_delay = lag.max_delay()};
+  return stats_.render(endpoints, upstream, memory, requests, event_loop);
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/server/gateway_stats.cpp
+++ b/src/net/server/gateway_stats.cpp
@@ -59,7 +59,8 @@
 }
 
 std::string GatewayStats::render(const EndpointCounts& endpoints, const UpstreamCounts& upstream,
-                                 const MemoryCounts& memory, const RequestCounts& requests) const {
+                                 const MemoryCounts& memory, const RequestCounts& requests,
+                                 const EventLoopCounts& event_loop) const {
   std::string text;
   for (const auto& [request_class, counts] : responses_by_class_) {
     append_line(text, "replies." + request_class + ".success", counts.success);
@@ -76,6 +77,8 @@
   append_line(text, "undecided", requests.undecided);
   append_line(text, "clients.dropped_segments", requests.dropped_input_segments);
   append_line(text, "resumed", resumed_work_);
+  append_line(text, "event_loop.delays", event_loop.delays);
+  append_line(text, "event_loop.max_delay_us", std::uint64_t(event_loop.max_delay));
   append_upstream(text, upstream);
   append_line(text, "memory.used", memory.used_bytes);
   append_line(text, "memory.limit", memory.limit_bytes);
--- a/src/net/server/gateway_stats.hpp
+++ b/src/net/server/gateway_stats.hpp
@@ -50,6 +50,12 @@
   std::uint64_t dropped_input_segments = 0;  // see ClientListener
 };
 
+// Times that the event loop was late, see EventLoopLag.
+struct EventLoopCounts {
+  std::uint64_t delays = 0;
+  Micros max_delay = 0;  // us
+};
+
 // Connections to servers.
 struct UpstreamCounts {
   ConnectionCounts connections;
@@ -76,7 +82,8 @@
 
   // All metrics, one line each: `app.NAME=VALUE`.
   std::string render(const EndpointCounts& endpoints, const UpstreamCounts& upstream,
-                     const MemoryCounts& memory, const RequestCounts& requests) const;
+                     const MemoryCounts& memory, const RequestCounts& requests,
+                     const EventLoopCounts& event_loop) const;
 
  private:
   std::map<std::string, ResponseCounts> responses_by_class_;
