--- a/tests/net/server/late_connection_test.cpp
+++ b/tests/net/server/late_connection_test.cpp
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <cstdlib>
 #include <deque>
+#include <functional>
+#include <list>
 #include <string>
 #include <thread>
 
@@ -97,6 +99,29 @@
   EXPECT_LT(Clock().now() - sent_at, kLatestAnswer);
 }
 
+// Guards against clients that wait for as many turns of the event loop as others connected before.
+TEST_F(LateConnections, ClientsThatConnectTogetherAreAnsweredInTheirTime) {
+  constexpr int kClients = 40;
+  constexpr std::chrono::milliseconds kTurn{50};
+  constexpr Micros kLatestAnswer = 1'500'000;  // their time and 0.5 s
+  start();
+  std::list<Client> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.push_back(test_bed.client());
+    clients.back().send(post_request(prefixed_number("t", i), "1000m"));
+  }
+  const Micros sent_at = Clock().now();
+  const std::function<void()> delay_turn = [&] {
+    delay_event_loop(kTurn);
+    asio::post(test_bed.io, delay_turn);
+  };
+  asio::post(test_bed.io, delay_turn);
+  for (Client& client : clients) {
+    ASSERT_NE(status(client), 0);
+  }
+  EXPECT_LT(Clock().now() - sent_at, kLatestAnswer);
+}
+
 // Guards against an end of a connection that comes 200 ms late: while a system lacks memory for
 // TCP, it sends the end at once only if all bytes before it are acknowledged.
 TEST_F(LateConnections, ARequestIsAcknowledgedAsSoonAsItIsRead) {
--- a/tests/net/upstream/connection_pool_fixture.cpp
+++ b/tests/net/upstream/connection_pool_fixture.cpp
@@ -24,6 +24,7 @@
   events.on_complete = [this](AttemptKey key, AttemptResult result) {
     results.emplace_back(key, std::move(result));
   };
+  events.on_request_written = [this](AttemptKey) { on_request_written(); };
   pools.emplace_back(io, timers, clock, limits, std::move(events));
   endpoint_list.complete = true;
   endpoint_list.endpoints = {listed_endpoint("s", server)};
--- a/tests/net/upstream/connection_pool_fixture.hpp
+++ b/tests/net/upstream/connection_pool_fixture.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -55,6 +56,8 @@
   ForwardedRequest request;
   // What AttemptEvents::may_begin returns.
   bool attempts_may_begin = true;
+  // Called right after the last byte of a request was written, before the wait for the response.
+  std::function<void()> on_request_written = [] {};
   // The results of all attempts, in the order in which they ended.
   std::vector<std::pair<AttemptKey, AttemptResult>> results;
   // The current pool is the last. Earlier pools stay alive because their handlers may still run.
--- a/tests/net/upstream/connection_reuse_test.cpp
+++ b/tests/net/upstream/connection_reuse_test.cpp
@@ -22,6 +22,26 @@
   EXPECT_TRUE(is_closed(0));
 }
 
+// Guards against an idle connection that is closed for the bytes of its own response: they are
+// there before the wait for them begins, and the event loop reports them once more after they were
+// read.
+TEST_F(ConnectionReuseTest, KeepsAConnectionWhoseResponseWasThereBeforeTheWaitForIt) {
+  constexpr Micros kTimeForTheReport = 50'000;
+  tcp::acceptor listener(io, {asio::ip::address_v4::loopback(), 0});
+  tcp::socket peer(io);
+  on_request_written = [&] {
+    listener.accept(peer);
+    asio::write(peer, asio::buffer(http_response("200 OK", "", "x")));
+  };
+  make_pool();
+  endpoint_list.endpoints[0].address = listener.local_endpoint();
+  pool().update(endpoint_list);
+  ASSERT_EQ(run_attempt(1).outcome, Outcome::kOk);
+  const Micros end = clock.now() + kTimeForTheReport;
+  ASSERT_TRUE(run_until(io, [&] { return clock.now() >= end; }));
+  EXPECT_EQ(pool().connection_counts().idle, 1U);
+}
+
 // Guards against a server whose second responses reach other requests again and again: bytes that
 // no request awaits show that its connections must not be reused.
 TEST_F(ConnectionReuseTest, ReusesNoConnectionToAServerThatHasRespondedTwice) {
