--- a/src/net/upstream/response_reader.cpp
+++ b/src/net/upstream/response_reader.cpp
@@ -148,7 +148,7 @@
     return;
   }
   if (connection->state == State::kIdle) {
-    return response_events_.on_idle_readable(connection);
+    return on_idle_readable(connection, error);
   }
   std::size_t size = 0;
   if (!error) {
@@ -166,6 +166,14 @@
   }
 }
 
+// The event loop may report the bytes of the response once more after they were read.
+void ResponseReader::on_idle_readable(const ConnectionPtr& connection, error_code error) {
+  if (!error && connection->is_open_without_unread_data()) {
+    return read(connection);
+  }
+  response_events_.on_idle_readable(connection);
+}
+
 // A body without a stated length ends with its connection. A reset is no end: the server may have
 // had more to send.
 void ResponseReader::on_disconnected(const ConnectionPtr& connection, error_code error) {
--- a/src/net/upstream/response_reader.hpp
+++ b/src/net/upstream/response_reader.hpp
@@ -61,6 +61,7 @@
 
   void fail_after_exception(const ConnectionPtr& connection) const;
   void on_readable(const ConnectionPtr& connection, boost::system::error_code error);
+  void on_idle_readable(const ConnectionPtr& connection, boost::system::error_code error);
   void on_received(const ConnectionPtr& connection, std::size_t size);
   void on_disconnected(const ConnectionPtr& connection, boost::system::error_code error);
   void process_received(const ConnectionPtr& connection, bool is_first_part);
