--- a/tests/support/peer_connection.cpp
+++ b/tests/support/peer_connection.cpp
@@ -11,7 +11,7 @@
   socket.async_read_some(asio::buffer(chunk_),
                          [this, self = shared_from_this()](error_code ec, std::size_t n) {
                            if (ec) {
-                             closed = true;
+                             close();
                              return;
                            }
                            pending.append(chunk_.data(), n);
@@ -34,7 +34,8 @@
 }
 
 void PeerConnection::reset() {
-  socket.set_option(asio::socket_base::linger(true, 0));
+  error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
   close();
 }
 
