--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -137,7 +137,8 @@
     return reject_for_lack_of_memory();
   }
   if (!is_in(SessionState::kClosing)) {
-    reader_.append_input(context_.read_buffer.data(), size, context_.clock.now());
+    reader_.append_input(context_.read_buffer.data(), size,
+                         context_.event_loop_lag.earliest_arrival());
   }
   if (may_parse()) {
     parse_input();
--- a/src/net/client/request_reader.cpp
+++ b/src/net/client/request_reader.cpp
@@ -23,8 +23,8 @@
 
 }  // namespace
 
-void RequestReader::append_input(const char* bytes, std::size_t size, Micros now) {
-  arrivals_.on_received(size, input_.size(), now);
+void RequestReader::append_input(const char* bytes, std::size_t size, Micros arrived_at) {
+  arrivals_.on_received(size, input_.size(), arrived_at);
   input_.append(bytes, size);
 }
 
--- a/src/net/client/request_reader.hpp
+++ b/src/net/client/request_reader.hpp
@@ -35,8 +35,8 @@
   explicit RequestReader(const Settings& settings, BufferLimits limits = {})
       : settings_(settings), limits_(limits) {}
 
-  // `now`: when the bytes arrived.
-  void append_input(const char* bytes, std::size_t size, Micros now);
+  // `arrived_at`: when the bytes arrived, or earlier.
+  void append_input(const char* bytes, std::size_t size, Micros arrived_at);
   bool has_input() const { return !input_.empty(); }
   // Number of bytes that have not been parsed.
   std::size_t buffered_bytes() const { return input_.size(); }
--- a/src/net/server/request_deadlines.cpp
+++ b/src/net/server/request_deadlines.cpp
@@ -36,7 +36,7 @@
     return;
   }
   request.body_arrived = true;
-  request.deadline = limit(loop_.clock.now() + request.time_limit);
+  request.deadline = limit(clients_.event_loop_lag().earliest_arrival() + request.time_limit);
   schedule_decision_check(request, id, request.deadline);
   if (request.attempts_in_flight == 0) {
     return;
