--- a/src/net/server/request_deadlines.cpp
+++ b/src/net/server/request_deadlines.cpp
@@ -129,7 +129,9 @@
   std::vector<std::uint64_t> overdue;
   for (const auto& [id, request] : requests_) {
     const bool is_open = !request.finished && !request.response_started && request.body_arrived;
-    if (is_open && request.deadline + kDecisionGrace + kOverdueAfter < now) {
+    // One that was read after its deadline is rejected in the next turn of the event loop.
+    const Micros due_at = std::max(request.deadline, request.read_at);
+    if (is_open && due_at + kDecisionGrace + kOverdueAfter < now) {
       overdue.push_back(id);
     }
   }
--- a/src/net/server/request_dispatcher.cpp
+++ b/src/net/server/request_dispatcher.cpp
@@ -62,6 +62,7 @@
   const Micros now = loop_.clock.now();
   RequestArrived& arrived = accepted.arrived;
   request.client = client;
+  request.read_at = now;
   request.timeline.add(RequestStep::kReceived, now);
   request.idempotent = accepted.idempotent;
   request.may_run_again = accepted.may_run_again;
--- a/src/net/server/request_table.hpp
+++ b/src/net/server/request_table.hpp
@@ -37,6 +37,7 @@
 struct Request {
   std::uint64_t id = 0;
   ClientId client = 0;
+  Micros read_at = 0;  // when its head was read, which may be after its deadline
   // Counts of the request's class, to which its outcome is added.
   ResponseCounts* response_counts = nullptr;
   // Time allowed from the last byte of the request to its answer.
--- a/tests/net/server/late_connection_test.cpp
+++ b/tests/net/server/late_connection_test.cpp
@@ -100,6 +100,17 @@
   EXPECT_LT(Clock().now() - sent_at, kLatestAnswer);
 }
 
+// Guards against a request that fails as undecided though it was only read after its time.
+TEST_F(LateConnections, ARequestThatIsReadAfterItsTimeIsRejected) {
+  start();
+  Client client = test_bed.client();
+  client.send(post_request("t", "500m"));
+  ASSERT_EQ(status(client), 200);
+  client.send(post_request("u", "500m"));
+  delay_event_loop(std::chrono::milliseconds(900));
+  EXPECT_EQ(status(client), 503);
+}
+
 // Guards against clients that wait for as many turns of the event loop as others connected before.
 TEST_F(LateConnections, ClientsThatConnectTogetherAreAnsweredInTheirTime) {
   constexpr int kClients = 40;
