--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -78,9 +78,12 @@
   if (is_in(SessionState::kClosing)) {
     discard_input_until_closed(shared_from_this(), context_);
   } else {
-    wait_readable(socket_, [this, self = shared_from_this()](error_code ec) {
+    const bool has_input = wait_readable(socket_, [this, self = shared_from_this()](error_code ec) {
       run_step([this, ec] { on_readable(ec); });
     });
+    if (!has_input) {
+      last_without_input_ = context_.clock.now();
+    }
   }
   is_reading_ = true;
 }
@@ -137,8 +140,9 @@
     return reject_for_lack_of_memory();
   }
   if (!is_in(SessionState::kClosing)) {
-    reader_.append_input(context_.read_buffer.data(), size,
-                         context_.event_loop_lag.earliest_arrival());
+    const Micros arrived_at =
+        std::max(context_.event_loop_lag.earliest_arrival(), last_without_input_);
+    reader_.append_input(context_.read_buffer.data(), size, arrived_at);
   }
   if (may_parse()) {
     parse_input();
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -128,6 +128,8 @@
   SessionActivity activity_;
   // The id that on_request returned for the current request, until its response is complete.
   std::optional<std::uint64_t> request_;
+  // When a wait for input last began without any. What is read afterwards has arrived since then.
+  Micros last_without_input_ = 0;
   bool is_reading_ = false;         // a read is pending, or input is being discarded
   bool is_watching_input_ = false;  // a check of the unread input is scheduled
   bool body_arrived_ = false;       // the arrival of the current request's body was reported
--- a/src/net/system_call/socket_wait.hpp
+++ b/src/net/system_call/socket_wait.hpp
@@ -20,17 +20,19 @@
 
 // Calls the handler, never from within this call, once the socket or acceptor is readable or its
 // connection has ended. It may be called too early. The handler is also called if the socket is
-// closed first, with or without an error.
+// closed first, with or without an error. Returns whether the socket is readable already, or true
+// if the system does not tell.
 template <typename Socket, typename Handler>
-void wait_readable(Socket& socket, Handler handler) {
+bool wait_readable(Socket& socket, Handler handler) {
   // The event loop asks for events after this, so none is missed that happens from now on.
   if (has_socket_event(socket.native_handle(), POLLIN).value_or(true)) {
     boost::asio::post(socket.get_executor(), [handler = std::move(handler)]() mutable {
       handler(boost::system::error_code());
     });
-    return;
+    return true;
   }
   socket.async_wait(Socket::wait_read, std::move(handler));
+  return false;
 }
 
 // The same once the socket is writable. The socket must exist until the handler is called.
--- a/tests/net/server/late_connection_test.cpp
+++ b/tests/net/server/late_connection_test.cpp
@@ -111,6 +111,19 @@
   EXPECT_EQ(status(client), 503);
 }
 
+// Guards against a request that counts as read late since the event loop was late before it.
+TEST_F(LateConnections, ARequestThatWasSentAfterTheDelayIsServed) {
+  start();
+  Client client = test_bed.client();
+  client.send(post_request("s", "500m"));
+  ASSERT_EQ(status(client), 200);
+  client.send(post_request("t", "500m"));
+  delay_event_loop(std::chrono::milliseconds(900));
+  ASSERT_EQ(status(client), 503);
+  client.send(post_request("u", "500m"));
+  EXPECT_EQ(status(client), 200);
+}
+
 // Guards against clients that wait for as many turns of the event loop as others connected before.
 TEST_F(LateConnections, ClientsThatConnectTogetherAreAnsweredInTheirTime) {
   constexpr int kClients = 40;
