--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -135,7 +135,7 @@
 
 void ClientSession::on_received(std::size_t size) {
   activity_.on_bytes_received();
-  peeked_bytes_.reset();
+  body_arrival_.on_input_read();
   if (!has_memory_for_input()) {
     return reject_for_lack_of_memory();
   }
@@ -187,28 +187,11 @@
 
 void ClientSession::check_body_arrival() {
   const bool awaits_rest = is_in(SessionState::kAwaitingResponse) && reader_.is_body_incomplete();
-  if (!awaits_rest || body_arrived_ || !request_) {
-    return;
-  }
-  if (has_body_arrived()) {
-    body_arrived_ = true;
+  if (awaits_rest && request_ && body_arrival_.notice(socket_, reader_, context_.read_buffer)) {
     context_.callbacks.on_body_arrived(*request_);
   }
 }
 
-bool ClientSession::has_body_arrived() {
-  const std::size_t unread = unread_bytes(socket_);
-  if (const auto missing = reader_.missing_body_bytes()) {
-    return unread >= *missing;
-  }
-  if (unread == peeked_bytes_) {
-    return false;  // as before
-  }
-  peeked_bytes_ = unread;
-  const std::string tail = peek_tail(socket_, unread, kLastChunk.size(), context_.read_buffer);
-  return reader_.ends_like_chunked_body(tail);
-}
-
 // ---- Requests
 
 bool ClientSession::may_parse() const {
@@ -301,7 +284,7 @@
     return reject(e.status(), e.what());
   }
   enter(SessionState::kAwaitingResponse);
-  body_arrived_ = !reader_.is_body_incomplete();
+  body_arrival_.start(!reader_.is_body_incomplete());
   request_ = context_.callbacks.on_request(client_, std::move(request));
   if (!request_) {
     return reject(http::status::conflict, "a request with this X-Trace-Id is in progress");
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "net/client/body_arrival.hpp"
 #include "net/client/client_callbacks.hpp"
 #include "net/client/client_session_context.hpp"
 #include "net/client/lingering_close.hpp"
@@ -84,7 +85,6 @@
   void check_unread_input();
   void check_body_arrival();
   // Whether the socket holds the rest of the current request's body, unread.
-  bool has_body_arrived();
 
   bool may_parse() const;
   void parse_input();
@@ -126,16 +126,13 @@
   ResponseOutput output_;
   NoDelayOption no_delay_;
   SessionActivity activity_;
+  BodyArrival body_arrival_;
   // The id that on_request returned for the current request, until its response is complete.
   std::optional<std::uint64_t> request_;
   // When a wait for input last began without any. What is read afterwards has arrived since then.
   Micros last_without_input_ = 0;
   bool is_reading_ = false;         // a read is pending, or input is being discarded
   bool is_watching_input_ = false;  // a check of the unread input is scheduled
-  bool body_arrived_ = false;       // the arrival of the current request's body was reported
-  // Number of unread bytes in which the end of a chunked body was last searched for. Empty after a
-  // read.
-  std::optional<std::size_t> peeked_bytes_;
 };
 
 }  // namespace quota_gateway::net
