--- a/src/net/client/arrival_times.cpp
+++ b/src/net/client/arrival_times.cpp
@@ -4,15 +4,15 @@
 
 namespace quota_gateway::net {
 
-void ArrivalTimes::on_received(std::size_t size, std::size_t unparsed, Micros at) {
+void ArrivalTimes::on_received(std::size_t size, std::size_t unparsed, Micros arrived_at) {
   if (unparsed == 0) {
     arrivals_.clear();
   }
   received_ += size;
-  if (!arrivals_.empty() && at - arrivals_.back().at < kResolution) {
+  if (!arrivals_.empty() && arrived_at - arrivals_.back().at < kResolution) {
     arrivals_.back().end = received_;
   } else {
-    arrivals_.push_back({received_, at});
+    arrivals_.push_back({received_, arrived_at});
   }
 }
 
--- a/src/net/client/arrival_times.hpp
+++ b/src/net/client/arrival_times.hpp
@@ -12,9 +12,9 @@
 
 class ArrivalTimes {
  public:
-  // `size` bytes have arrived at that time or later, behind `unparsed` bytes that had arrived
+  // `size` bytes have arrived at `arrived_at` or later, behind `unparsed` bytes that had arrived
   // before.
-  void on_received(std::size_t size, std::size_t unparsed, Micros at);
+  void on_received(std::size_t size, std::size_t unparsed, Micros arrived_at);
   // Returns when the last parsed byte arrived, or up to kResolution earlier. `unparsed` bytes
   // follow it; some byte must have been parsed since the previous call with none unparsed.
   Micros of_last_parsed(std::size_t unparsed);
