--- a/src/net/server/attempt_reporter.cpp
+++ b/src/net/server/attempt_reporter.cpp
@@ -40,6 +40,9 @@
   Attempt& attempt = request.attempt(key.attempt);
   attempt.in_flight = false;
   request.timeline.add(RequestStep::kAttemptEnded, loop_.clock.now(), int(result.outcome));
+  if (result.fault != ResponseFault::kNone) {
+    request.timeline.add(RequestStep::kResponseFault, loop_.clock.now(), int(result.fault));
+  }
   --request.attempts_in_flight;
   request.is_run_possible = request.is_run_possible || may_have_run(result.outcome);
   request.last_attempt_timed_out = result.outcome == Outcome::kTimeout;
--- a/src/net/server/gateway_stats.cpp
+++ b/src/net/server/gateway_stats.cpp
@@ -7,6 +7,13 @@
   text.append("app.").append(name).append("=").append(std::to_string(value)).append("\n");
 }
 
+void append_aborted_responses(std::string& text, const ResponseFaultCounts& counts) {
+  for (std::size_t index = 0; index < kResponseFaultCount; ++index) {
+    const auto fault = ResponseFault(index);
+    append_line(text, "responses_aborted." + std::string(metric_name(fault)), counts.count(fault));
+  }
+}
+
 void append_upstream(std::string& text, const UpstreamCounts& upstream) {
   const AttemptRunner::Counts& in_use = upstream.connections.in_use;
   const std::size_t attempts = in_use.connecting + in_use.writing + in_use.waiting;
@@ -79,6 +86,7 @@
   append_line(text, "resumed", resumed_work_);
   append_line(text, "event_loop.delays", event_loop.delays);
   append_line(text, "event_loop.max_delay_us", std::uint64_t(event_loop.max_delay));
+  append_aborted_responses(text, aborted_responses_);
   append_upstream(text, upstream);
   append_line(text, "memory.used", memory.used_bytes);
   append_line(text, "memory.limit", memory.limit_bytes);
--- a/src/net/server/gateway_stats.hpp
+++ b/src/net/server/gateway_stats.hpp
@@ -76,6 +76,8 @@
   void on_request_finished(ResponseCounts& counts, RequestOutcome outcome);
   // Counts an attempt, once the last byte of its request has been written.
   void on_attempt_written();
+  // A response of which the client has received a part was given up.
+  void on_response_aborted(ResponseFault fault) { aborted_responses_.add(fault); }
   // Work was taken up again that an exception had interrupted.
   void on_work_resumed(std::size_t count) { resumed_work_ += count; }
   void on_reload(ReloadResult result);
@@ -89,6 +91,7 @@
   std::map<std::string, ResponseCounts> responses_by_class_;
   std::uint64_t requests_in_progress_ = 0;
   std::uint64_t attempts_written_ = 0;
+  ResponseFaultCounts aborted_responses_;
   std::uint64_t resumed_work_ = 0;
   std::uint64_t reloads_applied_ = 0;
   std::uint64_t reloads_rejected_ = 0;
--- a/src/net/server/message_streamer.cpp
+++ b/src/net/server/message_streamer.cpp
@@ -14,7 +14,8 @@
       events_(collaborators.events),
       finisher_(collaborators.finisher),
       reporter_(collaborators.reporter),
-      deadlines_(collaborators.deadlines) {}
+      deadlines_(collaborators.deadlines),
+      stats_(collaborators.stats) {}
 
 void MessageStreamer::on_body_piece(std::uint64_t id, const std::string& piece, bool is_last) {
   const auto entry = requests_.find(id);
@@ -105,20 +106,28 @@
   }
 }
 
-void MessageStreamer::finish_response(Request& request, AttemptKey key, Outcome outcome) {
-  const bool is_complete = outcome == Outcome::kOk;
-  const RequestOutcome request_outcome =
-      is_complete ? RequestOutcome::kSuccess : RequestOutcome::kError;
-  if (!finisher_.try_finish(request, request_outcome)) {
+void MessageStreamer::finish_response(Request& request, AttemptKey key,
+                                      const AttemptResult& result) {
+  if (request.finished) {
     return;
   }
-  if (is_complete) {
+  if (result.outcome == Outcome::kOk) {
+    finisher_.try_finish(request, RequestOutcome::kSuccess);
     clients_.finish_response(request.client);
   } else {
-    clients_.abort_response(request.client);
-    events_.push(ResponseAborted{request.attempt(key.attempt).endpoint});
+    abort_response(request, key, result.fault);
   }
   requests_.remove_if_done(requests_.find(key.request));
 }
 
+void MessageStreamer::abort_response(Request& request, AttemptKey key, ResponseFault fault) {
+  const Micros now = clock_.now();
+  request.timeline.add(RequestStep::kResponseFault, now, int(fault));
+  request.timeline.add(RequestStep::kResponseAborted, now);
+  finisher_.try_finish(request, RequestOutcome::kError);
+  stats_.on_response_aborted(fault);
+  clients_.abort_response(request.client);
+  events_.push(ResponseAborted{request.attempt(key.attempt).endpoint});
+}
+
 }  // namespace quota_gateway::net
--- a/src/net/server/message_streamer.hpp
+++ b/src/net/server/message_streamer.hpp
@@ -11,6 +11,7 @@
 #include "net/event_loop/clock.hpp"
 #include "net/server/attempt_reporter.hpp"
 #include "net/server/event_batcher.hpp"
+#include "net/server/gateway_stats.hpp"
 #include "net/server/request_deadlines.hpp"
 #include "net/server/request_finisher.hpp"
 #include "net/server/request_table.hpp"
@@ -30,6 +31,7 @@
     RequestFinisher& finisher;
     AttemptReporter& reporter;
     RequestDeadlines& deadlines;
+    GatewayStats& stats;
   };
   MessageStreamer(const Clock& clock, Collaborators collaborators);
 
@@ -60,9 +62,11 @@
   void on_response_piece_sent(std::uint64_t id);
   // The response has ended: completely if the outcome is kOk, else the connection of the client is
   // reset. Removes the request, unless it was finished before.
-  void finish_response(Request& request, AttemptKey key, Outcome outcome);
+  void finish_response(Request& request, AttemptKey key, const AttemptResult& result);
 
  private:
+  void abort_response(Request& request, AttemptKey key, ResponseFault fault);
+
   const Clock& clock_;
   RequestTable& requests_;
   ConnectionPool& pool_;
@@ -71,6 +75,7 @@
   RequestFinisher& finisher_;
   AttemptReporter& reporter_;
   RequestDeadlines& deadlines_;
+  GatewayStats& stats_;
 };
 
 }  // namespace quota_gateway::net
--- a/src/net/server/request_dispatcher.cpp
+++ b/src/net/server/request_dispatcher.cpp
@@ -141,7 +141,7 @@
   }
   Request& request = entry->second;
   if (request.response_started && key.attempt == request.latest_attempt()) {
-    streamer_.finish_response(request, key, result.outcome);
+    streamer_.finish_response(request, key, result);
     return;
   }
   if (!request.attempt(key.attempt).in_flight) {
--- a/src/net/server/request_timeline.cpp
+++ b/src/net/server/request_timeline.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "net/upstream/response_fault.hpp"
 #include "quota_gateway/gateway.hpp"
 
 namespace quota_gateway::net {
@@ -10,7 +11,7 @@
 
 constexpr double kMicrosPerMillisecond = 1'000;
 
-const char* describe(Outcome outcome) {
+const char* describe_outcome(Outcome outcome) {
   switch (outcome) {
     case Outcome::kOk:
       return "response";
@@ -32,7 +33,7 @@
   return "unknown";
 }
 
-std::string describe(RequestStep step, int detail) {
+std::string describe_step(RequestStep step, int detail) {
   switch (step) {
     case RequestStep::kReceived:
       return "received";
@@ -43,9 +44,13 @@
     case RequestStep::kAttemptWritten:
       return "attempt written";
     case RequestStep::kAttemptEnded:
-      return std::string("attempt ended: ") + describe(Outcome(detail));
+      return std::string("attempt ended: ") + describe_outcome(Outcome(detail));
+    case RequestStep::kResponseFault:
+      return std::string(describe(ResponseFault(detail)));
     case RequestStep::kResponseStarted:
       return "response started";
+    case RequestStep::kResponseAborted:
+      return "response aborted";
     case RequestStep::kAnswered:
       return "answered " + std::to_string(detail);
     case RequestStep::kClientLeft:
@@ -81,7 +86,7 @@
     if (i > 0) {
       text += ", ";
     }
-    text += net::describe(entry.step, entry.detail);
+    text += describe_step(entry.step, entry.detail);
     if (i > 0) {
       text += describe_time(entry.at - entries_.front().at);
     }
--- a/src/net/server/request_timeline.hpp
+++ b/src/net/server/request_timeline.hpp
@@ -18,7 +18,9 @@
   kAttemptBegun,     // its first byte is written next
   kAttemptWritten,   // its last byte was written
   kAttemptEnded,     // detail: its Outcome
+  kResponseFault,    // the response of the attempt could not be used; detail: its ResponseFault
   kResponseStarted,  // a long response is being streamed
+  kResponseAborted,  // the rest of that response is not sent to the client
   kAnswered,         // detail: the status
   kClientLeft,       // the gateway has learnt that the client has closed its connection
 };
--- a/src/net/upstream/attempt.hpp
+++ b/src/net/upstream/attempt.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "net/upstream/response_fault.hpp"
 #include "quota_gateway/gateway.hpp"
 
 namespace quota_gateway::net {
@@ -40,6 +41,8 @@
 // The outcome of an attempt and the values that the server sent in its response.
 struct AttemptResult {
   Outcome outcome = Outcome::kReset;
+  // Why the response could not be used. kNone if it could, or if there was none.
+  ResponseFault fault = ResponseFault::kNone;
   LoadReport load;
   // For kOk: the complete response body, or, if the response is delivered in pieces, the received
   // part that was not delivered before.
--- a/src/net/upstream/attempt_runner.cpp
+++ b/src/net/upstream/attempt_runner.cpp
@@ -342,6 +342,7 @@
                                               ConnectionCondition condition) {
   AttemptResult result;
   result.outcome = outcome;
+  result.fault = connection->fault;
   complete(connection, std::move(result), condition);
 }
 
--- a/src/net/upstream/response_reader.cpp
+++ b/src/net/upstream/response_reader.cpp
@@ -106,10 +106,21 @@
   connection->read_pending = true;
 }
 
+void ResponseReader::fail(const ConnectionPtr& connection, Outcome outcome,
+                          ResponseFault fault) const {
+  connection->fault = fault;
+  response_events_.on_failed(connection, outcome);
+}
+
+void ResponseReader::fail_broken(const ConnectionPtr& connection, ResponseFault fault) const {
+  connection->fault = fault;
+  response_events_.on_broken(connection);
+}
+
 // Bytes of the response may be lost, so the connection has no further use.
 void ResponseReader::fail_after_exception(const ConnectionPtr& connection) const {
   if (connection->state == State::kWriting || connection->state == State::kWaiting) {
-    response_events_.on_broken(connection);
+    fail_broken(connection, ResponseFault::kInterrupted);
   } else if (connection->state == State::kIdle) {
     response_events_.on_idle_readable(connection);
   }
@@ -178,16 +189,17 @@
 // had more to send.
 void ResponseReader::on_disconnected(const ConnectionPtr& connection, error_code error) {
   if (error != asio::error::eof || connection->state != State::kWaiting) {
-    return response_events_.on_broken(connection);
+    return fail_broken(
+        connection, error == asio::error::eof ? ResponseFault::kEndedEarly : ResponseFault::kReset);
   }
   try {
     if (connection->end_of_stream()) {
       return on_response_complete(connection);
     }
   } catch (const std::exception&) {
-    return response_events_.on_failed(connection, Outcome::kReset);
+    return fail(connection, Outcome::kReset, ResponseFault::kInvalid);
   }
-  response_events_.on_broken(connection);
+  fail_broken(connection, ResponseFault::kEndedEarly);
 }
 
 void ResponseReader::on_received(const ConnectionPtr& connection, std::size_t size) {
@@ -205,8 +217,8 @@
   try {
     process_received(connection, is_first_part);
   } catch (const std::exception&) {
-    response_events_.on_failed(
-        connection, connection->body_incomplete ? Outcome::kConnectFailed : Outcome::kReset);
+    fail(connection, connection->body_incomplete ? Outcome::kConnectFailed : Outcome::kReset,
+         ResponseFault::kInvalid);
   }
 }
 
@@ -238,8 +250,8 @@
 // response can be delivered, and a long one must not be kept until the request is complete.
 void ResponseReader::on_early_response(const ConnectionPtr& connection) const {
   const bool is_overloaded = connection->outcome() == Outcome::kOverloaded;
-  response_events_.on_failed(connection,
-                             is_overloaded ? Outcome::kOverloaded : Outcome::kConnectFailed);
+  fail(connection, is_overloaded ? Outcome::kOverloaded : Outcome::kConnectFailed,
+       ResponseFault::kEarly);
 }
 
 // Schedules a check that fails the attempt if the response stalls. A response with a stated length
@@ -279,7 +291,7 @@
   if (clock_.now() - connection->last_progress_at < stall_timeout(*connection)) {
     return watch_progress(connection);
   }
-  response_events_.on_failed(connection, Outcome::kReset);
+  fail(connection, Outcome::kReset, ResponseFault::kStalled);
 }
 
 bool ResponseReader::deliver_part(const ConnectionPtr& connection) {
@@ -330,8 +342,11 @@
     return on_early_response(connection);
   }
   receive_trailing_bytes(connection);
-  if (connection->may_be_truncated() || is_likely_copy(*connection)) {
-    return response_events_.on_failed(connection, Outcome::kReset);
+  if (connection->may_be_truncated()) {
+    return fail(connection, Outcome::kReset, ResponseFault::kFollowedByData);
+  }
+  if (is_likely_copy(*connection)) {
+    return fail(connection, Outcome::kReset, ResponseFault::kRepeated);
   }
   connection->response_complete = true;
   if (!is_streaming(*connection) || !deliver_part(connection)) {
--- a/src/net/upstream/response_reader.hpp
+++ b/src/net/upstream/response_reader.hpp
@@ -59,6 +59,10 @@
   using State = UpstreamConnection::State;
   using Delivery = UpstreamConnection::Delivery;
 
+  // The response cannot be used: ends its attempt with the outcome.
+  void fail(const ConnectionPtr& connection, Outcome outcome, ResponseFault fault) const;
+  // The connection has broken: ends its attempt.
+  void fail_broken(const ConnectionPtr& connection, ResponseFault fault) const;
   void fail_after_exception(const ConnectionPtr& connection) const;
   void on_readable(const ConnectionPtr& connection, boost::system::error_code error);
   void on_idle_readable(const ConnectionPtr& connection, boost::system::error_code error);
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -85,6 +85,7 @@
 
 void UpstreamConnection::begin_response() {
   interim_responses = 0;
+  fault = ResponseFault::kNone;
   delivery = Delivery::kBuffered;
   response_complete = false;
   if (!response_.is_empty()) {
--- a/src/net/upstream/upstream_connection.hpp
+++ b/src/net/upstream/upstream_connection.hpp
@@ -18,6 +18,7 @@
 #include "net/http/receive_buffer.hpp"
 #include "net/system_call/socket_options.hpp"
 #include "net/upstream/attempt.hpp"
+#include "net/upstream/response_fault.hpp"
 #include "net/upstream/response_fingerprint.hpp"
 
 namespace quota_gateway::net {
@@ -163,6 +164,8 @@
   // Whether the start line of the response that is being parsed was parsed.
   bool start_line_parsed = false;
   int interim_responses = 0;
+  // Why the response cannot be used, set before its attempt fails.
+  ResponseFault fault = ResponseFault::kNone;
   // Time at which the response's first byte was received.
   Micros first_byte_at = 0;
   // Time at which a part of the response was last received or forwarded.
--- a/tests/net/server/request_timeline_test.cpp
+++ b/tests/net/server/request_timeline_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "net/upstream/response_fault.hpp"
 #include "quota_gateway/gateway.hpp"
 
 namespace quota_gateway::net::testing {
@@ -20,6 +21,16 @@
   EXPECT_FALSE(timeline.contains(RequestStep::kClientLeft));
 }
 
+TEST(RequestTimeline, DescribesWhyAResponseWasAborted) {
+  RequestTimeline timeline;
+  timeline.add(RequestStep::kResponseStarted, 0);
+  timeline.add(RequestStep::kResponseFault, 100, int(ResponseFault::kEndedEarly));
+  timeline.add(RequestStep::kResponseAborted, 200);
+  EXPECT_EQ(timeline.describe(),
+            "response started, the server closed the connection before the end of the response "
+            "+0.1 ms, response aborted +0.2 ms");
+}
+
 // Guards against a log that lacks the end of a request with many attempts.
 TEST(RequestTimeline, KeepsTheLatestStepOfMany) {
   RequestTimeline timeline;
