--- a/src/net/server/failed_request_log.cpp
+++ b/src/net/server/failed_request_log.cpp
@@ -4,24 +4,32 @@
 
 namespace quota_gateway::net {
 
+FailedRequestLog::Kind FailedRequestLog::kind_of(const RequestTimeline& timeline) {
+  if (timeline.contains(RequestStep::kClientLeft)) {
+    return Kind::kClientLeft;
+  }
+  return timeline.contains(RequestStep::kResponseAborted) ? Kind::kAborted : Kind::kFailed;
+}
+
 void FailedRequestLog::on_failed(const Request& request, Micros now) {
   const RequestTimeline& timeline = request.timeline;
-  if (timeline.contains(RequestStep::kClientLeft) &&
-      !timeline.contains(RequestStep::kAttemptBegun)) {
+  const Kind kind = kind_of(timeline);
+  if (kind == Kind::kClientLeft && !timeline.contains(RequestStep::kAttemptBegun)) {
     return;
   }
-  if (last_logged_at_ && now - *last_logged_at_ < kMinInterval) {
-    ++unlogged_;
+  Lines& lines = lines_.at(std::size_t(kind));
+  if (lines.last_logged_at && now - *lines.last_logged_at < kMinInterval) {
+    ++lines.unlogged;
     return;
   }
-  last_logged_at_ = now;
+  lines.last_logged_at = now;
   std::cerr << "request " << request.id << " (trace id " << request.forwarded.trace_id
             << ") ended without a complete response: " << timeline.describe();
   if (!request.attempts.empty()) {
     std::cerr << "; last server " << request.attempts.back().endpoint;
   }
-  std::cerr << "; " << unlogged_ << " such requests since the last line\n";
-  unlogged_ = 0;
+  std::cerr << "; " << lines.unlogged << " such requests since the last line\n";
+  lines.unlogged = 0;
 }
 
 }  // namespace quota_gateway::net
--- a/src/net/server/failed_request_log.hpp
+++ b/src/net/server/failed_request_log.hpp
@@ -2,6 +2,8 @@
 // can be followed by its trace id. Owned by GatewayServer, used by RequestFinisher.
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -13,16 +15,24 @@
 class FailedRequestLog {
  public:
   // Writing to a log that is read slowly would block the event loop, so there is at most one line
-  // in this time.
+  // of each kind in this time. Clients that leave do not hide requests that the gateway failed.
   static constexpr Micros kMinInterval = 1'000'000;  // us
 
-  // Logs the request unless a line was logged shortly before. A request whose client left before
-  // any attempt began is not logged: nothing of it was forwarded.
+  // Logs the request unless a line of the same kind was logged shortly before. A request whose
+  // client left before any attempt began is not logged: nothing of it was forwarded.
   void on_failed(const Request& request, Micros now);
 
  private:
-  std::optional<Micros> last_logged_at_;
-  std::uint64_t unlogged_ = 0;  // requests since the last line
+  enum class Kind : std::uint8_t { kClientLeft, kFailed, kAborted };
+  static constexpr std::size_t kKinds = std::size_t(Kind::kAborted) + 1;
+  struct Lines {
+    std::optional<Micros> last_logged_at;
+    std::uint64_t unlogged = 0;  // requests since the last line
+  };
+
+  static Kind kind_of(const RequestTimeline& timeline);
+
+  std::array<Lines, kKinds> lines_{};
 };
 
 }  // namespace quota_gateway::net
