--- a/src/net/upstream/response_reader.cpp
+++ b/src/net/upstream/response_reader.cpp
@@ -342,7 +342,9 @@
     return on_early_response(connection);
   }
   receive_trailing_bytes(connection);
-  if (connection->may_be_truncated()) {
+  // The client has a part of a streamed response, so that no other attempt can follow: its stated
+  // length decides.
+  if (!is_streaming(*connection) && connection->may_be_truncated()) {
     return fail(connection, Outcome::kReset, ResponseFault::kFollowedByData);
   }
   if (is_likely_copy(*connection)) {
