--- a/tests/net/client/client_session_test.cpp
+++ b/tests/net/client/client_session_test.cpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "net/client/client_session_fixture.hpp"
+#include "support/failing_allocations.hpp"
 
 namespace quota_gateway::net::testing {
 namespace {
@@ -104,6 +105,24 @@
   EXPECT_TRUE(disconnected.empty());
 }
 
+// Guards against a request that nobody waits for: its bytes were taken from the system, and then
+// there was no memory to keep them.
+TEST_F(ConnectedClientSessionTest, ARequestWhoseBytesFindNoMemoryIsRejected) {
+  const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok\n";
+  send_request();
+  session->respond({200, std::nullopt, "ok\n"});
+  EXPECT_EQ(receive(response.size()), response);
+  send("POST /write/0000000000000001?longer-than-the-memory-of-the-first-one HTTP/1.1\r\n" +
+       kValidRequest.substr(kValidRequest.find("Host:")));
+  {
+    const FailingAllocations no_memory;
+    io.restart();
+    io.run_one();
+  }
+  EXPECT_EQ(receive().substr(0, 12), "HTTP/1.1 503");
+  EXPECT_EQ(bodies.size(), 1U);
+}
+
 TEST_F(ConnectedClientSessionTest, ReportsADisconnectWhileTheResponseIsAwaited) {
   send_request();
   sockets.client.close();
