--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -129,7 +129,9 @@
   if (ec) {
     return close(close_after_error(CloseReason::kReadFailed, ec));
   }
+  is_handling_input_ = true;
   on_received(size);
+  is_handling_input_ = false;
   read();
 }
 
@@ -529,7 +531,8 @@
 // What the step was to do next is known to nobody else, so the client gets an error. A response
 // that has begun can't be followed by one: its connection is reset.
 void ClientSession::end_after_exception() {
-  const bool is_untouched = is_in(SessionState::kIdle) && !reader_.has_input();
+  const bool has_lost_input = std::exchange(is_handling_input_, false);
+  const bool is_untouched = is_in(SessionState::kIdle) && !reader_.has_input() && !has_lost_input;
   if (is_in(SessionState::kClosed) || is_in(SessionState::kClosing) || is_untouched) {
     return;  // resume() or a time limit takes it up
   }
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -133,6 +133,8 @@
   Micros last_without_input_ = 0;
   bool is_reading_ = false;         // a read is pending, or input is being discarded
   bool is_watching_input_ = false;  // a check of the unread input is scheduled
+  // Received bytes are being handled, so that an exception may have lost them.
+  bool is_handling_input_ = false;
 };
 
 }  // namespace quota_gateway::net
