--- a/tests/net/server/process_test.cpp
+++ b/tests/net/server/process_test.cpp
@@ -3,9 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include "support/gateway_process.hpp"
 #include "support/gateway_test_bed.hpp"
@@ -71,6 +73,27 @@
   EXPECT_TRUE(process.is_running());
 }
 
+// Guards against a request that is reset unseen: it crosses the gateway's own end of its
+// connection.
+TEST(GatewayProcess, ARequestThatCrossesTheEndOfItsIdleConnectionIsAnswered) {
+  constexpr std::chrono::milliseconds kIntoTheHold{50};
+  asio::io_context io;
+  FakeServer server(io);
+  FakeDiscovery discovery(io);
+  const auto port = free_port(io);
+  Process process(config_json(port, server, discovery), "", 0,
+                  {.system_calls = "seed=1 held_close=1"});
+  ASSERT_NE(process.read_log_until("ready").find("ready"), std::string::npos);
+  Client client(io, {asio::ip::address_v4::loopback(), port});
+  client.send(get_request("a"));
+  ASSERT_TRUE(client.receive());
+  process.terminate();
+  ASSERT_NE(process.read_log_until("draining").find("draining"), std::string::npos);
+  std::this_thread::sleep_for(kIntoTheHold);
+  client.send(get_request("b"));
+  EXPECT_TRUE(client.receive());
+}
+
 TEST(GatewayProcess, SigtermFinishesRequestsInFlightAndExitsWithSuccess) {
   asio::io_context io;
   FakeServer server(io);
--- a/tests/support/system_call_faults/system_call_faults.cpp
+++ b/tests/support/system_call_faults/system_call_faults.cpp
@@ -8,6 +8,7 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -20,6 +21,9 @@
 
 namespace {
 
+// How long a process may be held up between two steps.
+constexpr unsigned kHoldTimeUs = 150'000;
+
 // The share of calls that each fault affects.
 struct FaultRates {
   double short_send = 0;     // send takes a part of the bytes
@@ -30,6 +34,7 @@
   double options = 0;        // setsockopt fails for a moment
   double query = 0;          // poll, getsockopt and shutdown fail for a moment
   double epoll = 0;          // epoll_ctl does not add or change a socket
+  double held_close = 0;     // shutdown and close of an accepted connection begin late
   double broken = 0;         // send and recv of connections to servers: ETIMEDOUT, EHOSTUNREACH
 };
 
@@ -65,6 +70,7 @@
     rates_.options = value_of(text, "options");
     rates_.query = value_of(text, "query");
     rates_.epoll = value_of(text, "epoll");
+    rates_.held_close = value_of(text, "held_close");
     rates_.broken = value_of(text, "broken");
   }
 
@@ -164,6 +170,14 @@
   return true;
 }
 
+// Delays the end of an accepted connection, as by a process that is held up before the call.
+void hold_up_close(int fd) {
+  if (faults().occurs(faults().rates().held_close) && is_tcp(fd) &&
+      !connected().at(std::size_t(fd))) {
+    ::usleep(kHoldTimeUs);
+  }
+}
+
 }  // namespace
 
 extern "C" {
@@ -276,7 +290,14 @@
 
 int shutdown(int fd, int how) noexcept {
   static auto* const next = real<decltype(::shutdown)>("shutdown");
+  hold_up_close(fd);
   return setup_fails(fd, faults().rates().query, {ENOTCONN}) ? -1 : next(fd, how);
 }
 
+int close(int fd) {
+  static auto* const next = real<decltype(::close)>("close");
+  hold_up_close(fd);
+  return next(fd);
+}
+
 }  // extern "C"
