--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -90,6 +90,9 @@
   // full, on connections that are closed by now. The end of such a connection is seen late.
   std::uint64_t dropped_input_segments() const { return context_.dropped_input_segments; }
 
+  // Number of requests that arrived behind the last response of an idle connection.
+  std::uint64_t crossed_ends() const { return context_.crossed_ends.count(); }
+
   // How late the event loop reads what clients send.
   const EventLoopLag& event_loop_lag() const { return context_.event_loop_lag; }
 
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -42,8 +42,7 @@
 // end in a tiny piece.
 constexpr std::size_t kMinBodyReadBytes = 8 << 10;
 
-constexpr Micros kUnreadInputCheckInterval = 50'000;         // us
-constexpr Micros kUnreceivedResponseCheckInterval = 10'000;  // us
+constexpr Micros kUnreadInputCheckInterval = 50'000;  // us
 
 // Most of the memory that many clients fill is free again after this time.
 constexpr Micros kLackOfMemoryRetryAfter = 1'000'000;  // us
@@ -141,6 +140,7 @@
   if (!has_memory_for_input()) {
     return reject_for_lack_of_memory();
   }
+  on_input_after_end();
   if (!is_in(SessionState::kClosing)) {
     const Micros arrived_at =
         std::max(context_.event_loop_lag.earliest_arrival(), last_without_input_);
@@ -562,6 +562,7 @@
 }
 
 void ClientSession::on_input_discarded() {
+  on_input_after_end();
   activity_.on_input(context_.clock.now());
 }
 
@@ -582,18 +583,22 @@
 }
 
 void ClientSession::close_if_idle() {
-  if (!is_idle_between_requests() || has_unread_input(socket_)) {
-    return;
-  }
-  if (unacknowledged_bytes(socket_) == 0) {
-    return close({CloseReason::kIdle});
+  if (is_idle_between_requests() && !has_unread_input(socket_)) {
+    run_step([this] { end_idle(); });
   }
-  if (context_.draining) {
-    context_.timers.after(kUnreceivedResponseCheckInterval, [weak = weak_from_this()] {
-      if (const auto self = weak.lock()) {
-        self->close_if_idle();
-      }
-    });
+}
+
+// Nothing of a request that crosses this response is forwarded, so its client may repeat it.
+void ClientSession::end_idle() {
+  ClientResponse response;
+  response.status = int(http::status::service_unavailable);
+  was_ended_idle_ = true;
+  write_response(response, ConnectionUse::kClose);
+}
+
+void ClientSession::on_input_after_end() {
+  if (std::exchange(was_ended_idle_, false)) {
+    context_.crossed_ends.on_crossed(context_.clock.now());
   }
 }
 
@@ -651,7 +656,7 @@
       return close({CloseReason::kTimedOut});
     case TimeoutAction::kCloseUnlessInputArrived:
       if (!has_unread_input(socket_)) {
-        close({CloseReason::kTimedOut});
+        run_step([this] { end_idle(); });
       }
       return;
     case TimeoutAction::kNone:
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -48,8 +48,9 @@
   // See ClientListener.
   bool check_connected();
 
-  // Closes the session if it is idle between requests, its client has received all responses, and
-  // its socket has no unread input. During a shutdown, waits until the client has received them.
+  // Ends the session if it is idle between requests and its socket has no unread input. The client
+  // gets a last response, 503, and the end of the stream: a request that crosses the end has its
+  // response, and the client may repeat it.
   void close_if_idle();
   void close(const SessionClose& cause);
   // Rejects the request or closes the connection if a time limit has passed.
@@ -111,6 +112,9 @@
   void on_piece_written();
   void on_response_written();
   void await_next_request();
+  void end_idle();
+  // Input has arrived behind the last response. Counts a request that has crossed it.
+  void on_input_after_end();
   void close_after_last_response();
   bool is_aborting() const { return is_in(SessionState::kAborting); }
   void reset_aborted();
@@ -133,6 +137,7 @@
   Micros last_without_input_ = 0;
   bool is_reading_ = false;         // a read is pending, or input is being discarded
   bool is_watching_input_ = false;  // a check of the unread input is scheduled
+  bool was_ended_idle_ = false;     // by end_idle(), and no input has arrived since then
   // Received bytes are being handled, so that an exception may have lost them.
   bool is_handling_input_ = false;
 };
--- a/src/net/client/client_session_context.hpp
+++ b/src/net/client/client_session_context.hpp
@@ -41,6 +41,7 @@
   BufferLimits buffer_limits;
   EventLoopLag event_loop_lag{timers, clock};
   UnansweredRequestLog unanswered_requests = {};
+  CrossedEndLog crossed_ends = {};
   // Segments that the kernel dropped on connections that are closed by now.
   std::uint64_t dropped_input_segments = 0;
   bool draining = false;  // the gateway is shutting down; each response closes its connection
--- a/src/net/client/session_close.cpp
+++ b/src/net/client/session_close.cpp
@@ -51,4 +51,13 @@
   }
 }
 
+void CrossedEndLog::on_crossed(Micros now) {
+  ++count_;
+  if (limit_.try_log(now)) {
+    std::cerr << "clients: a request has crossed the end of its idle connection and was not "
+                 "forwarded; "
+              << count_ << " since the start\n";
+  }
+}
+
 }  // namespace quota_gateway::net
--- a/src/net/client/session_close.hpp
+++ b/src/net/client/session_close.hpp
@@ -47,4 +47,17 @@
   int unlogged_ = 0;  // requests since the last line
 };
 
+// Counts and logs requests that arrived behind the last response of an idle connection that the
+// gateway has ended. Each has that response, and was not forwarded.
+class CrossedEndLog {
+ public:
+  // Logs at most one line in 10 s.
+  void on_crossed(Micros now);
+  std::uint64_t count() const { return count_; }
+
+ private:
+  LogRateLimit limit_;
+  std::uint64_t count_ = 0;
+};
+
 }  // namespace quota_gateway::net
--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -246,6 +246,7 @@
   RequestCounts requests;
   requests.violations = guard_.violations();
   requests.undecided = deadlines_.undecided();
+  requests.crossed_ends = clients_.crossed_ends();
   requests.dropped_input_segments = clients_.dropped_input_segments();
   const EventLoopLag& lag = clients_.event_loop_lag();
   const EventLoopCounts event_loop{.delays = lag.delays(), .max_delay = lag.max_delay()};
--- a/src/net/server/gateway_stats.cpp
+++ b/src/net/server/gateway_stats.cpp
@@ -82,6 +82,7 @@
   append_line(text, "reload_failure", reloads_rejected_);
   append_line(text, "violations", requests.violations);
   append_line(text, "undecided", requests.undecided);
+  append_line(text, "clients.crossed_ends", requests.crossed_ends);
   append_line(text, "clients.dropped_segments", requests.dropped_input_segments);
   append_line(text, "resumed", resumed_work_);
   append_line(text, "event_loop.delays", event_loop.delays);
--- a/src/net/server/gateway_stats.hpp
+++ b/src/net/server/gateway_stats.hpp
@@ -45,8 +45,9 @@
 
 // What has gone wrong with requests and their connections.
 struct RequestCounts {
-  std::uint64_t violations = 0;  // see RequestGuard
-  std::uint64_t undecided = 0;   // failed because the decision module had not ended them in time
+  std::uint64_t violations = 0;    // see RequestGuard
+  std::uint64_t undecided = 0;     // failed because the decision module had not ended them in time
+  std::uint64_t crossed_ends = 0;  // see ClientListener
   std::uint64_t dropped_input_segments = 0;  // see ClientListener
 };
 
--- a/tests/net/hot_restart/hot_restart_test.cpp
+++ b/tests/net/hot_restart/hot_restart_test.cpp
@@ -112,7 +112,7 @@
   waiting_client.send(get_request("waiting"));
   parent.terminate();
   EXPECT_EQ(parent.wait_for_exit(), 0);
-  EXPECT_TRUE(idle_connection.wait_for_close());
+  EXPECT_TRUE(idle_connection.wait_for_idle_end());
   child.send_signal(SIGCONT);
   const auto response = waiting_client.receive();
   ASSERT_TRUE(response);
--- a/tests/net/server/client_connections_test.cpp
+++ b/tests/net/server/client_connections_test.cpp
@@ -21,7 +21,7 @@
   Client partial = test_bed.client();
   partial.send(get_request("a").substr(0, 60));
   EXPECT_EQ(status(partial), 408);
-  EXPECT_TRUE(silent.wait_for_close());
+  EXPECT_TRUE(silent.wait_for_idle_end());
 }
 
 TEST_F(ServerClientConnections, SilentConnectionsDoNotBlockNewClients) {
@@ -100,7 +100,7 @@
   }
   // The oldest idle connection is closed long before its idle limit of 4 s; those used last are
   // kept.
-  EXPECT_TRUE(idle_clients.front().wait_for_close());
+  EXPECT_TRUE(idle_clients.front().wait_for_idle_end());
   for (int i = 8; i < 12; ++i) {
     idle_clients[std::size_t(i)].send(get_request(prefixed_number("u", i)));
     EXPECT_EQ(status(idle_clients[std::size_t(i)]), 200);
@@ -117,7 +117,7 @@
     clients.back().send(get_request(prefixed_number("t", i)));
     EXPECT_EQ(status(clients.back()), 200) << i;
   }
-  EXPECT_TRUE(clients.front().wait_for_close());
+  EXPECT_TRUE(clients.front().wait_for_idle_end());
 }
 
 // The gateway accepts the new clients while the last bytes of the early requests are still unread.
--- a/tests/net/server/shutdown_test.cpp
+++ b/tests/net/server/shutdown_test.cpp
@@ -62,7 +62,23 @@
   client.send(get_request("a"));
   ASSERT_EQ(status(client), 200);
   server.drain([] {});
-  EXPECT_TRUE(client.wait_for_close());
+  EXPECT_TRUE(client.wait_for_idle_end());
+}
+
+// Guards against a request that crosses the end of its idle connection and is not seen.
+TEST_F(ServerShutdown, CountsRequestsThatCrossTheEndOfTheirConnection) {
+  test_bed.add_persisted_endpoint(listed_endpoint("s1", server1));
+  GatewayServer& server = test_bed.start();
+  Client client = test_bed.client();
+  client.send(get_request("a"));
+  ASSERT_EQ(status(client), 200);
+  server.drain([] {});
+  client.send(get_request("b"));
+  EXPECT_EQ(status(client), 503);
+  EXPECT_TRUE(test_bed.run_until([&] {
+    return server.render_stats().find("app.clients.crossed_ends=1\n") != std::string::npos;
+  }));
+  EXPECT_EQ(server1.requests.size(), 1U);
 }
 
 // The last requests arrive in the same turn of the event loop in which the process would exit.
--- a/tests/support/http_client.cpp
+++ b/tests/support/http_client.cpp
@@ -35,4 +35,15 @@
   return run_until(io_, [&] { return done.has_value(); }) && done->failed();
 }
 
+bool Client::wait_for_idle_end() {
+  const auto response = receive();
+  if (!response || response->result_int() != 503 || response->keep_alive()) {
+    return false;
+  }
+  std::optional<error_code> done;
+  char byte = 0;
+  socket.async_read_some(asio::buffer(&byte, 1), [&](error_code ec, std::size_t) { done = ec; });
+  return run_until(io_, [&] { return done.has_value(); }) && *done == asio::error::eof;
+}
+
 }  // namespace quota_gateway::net::testing
--- a/tests/support/http_client.hpp
+++ b/tests/support/http_client.hpp
@@ -27,6 +27,9 @@
   // Waits for the gateway to close or reset the connection. Returns false if the gateway sends data
   // first, or if nothing happens within the time limit of run_until().
   bool wait_for_close();
+  // Waits for the gateway to end an idle connection: with a response 503 that announces the close,
+  // and then the end of the stream, no reset. Returns false if anything else happens.
+  bool wait_for_idle_end();
 
  private:
   asio::io_context& io_;
