--- a/tests/net/server/process_test.cpp
+++ b/tests/net/server/process_test.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -94,6 +96,47 @@
   EXPECT_TRUE(client.receive());
 }
 
+// Guards against requests without an answer where the system allows fewer descriptors than the
+// configuration says, and silent clients hold all of them.
+TEST(GatewayProcess, SilentClientsDoNotTakeAllDescriptorsOfALowerSystemLimit) {
+  constexpr std::size_t kSystemLimit = 64;
+  constexpr int kSilentClients = 100;
+  constexpr Micros kLatestAnswer = 1'500'000;  // the time of the request and 0.5 s
+  asio::io_context io;
+  FakeServer server(io);
+  FakeDiscovery discovery(io);
+  const auto port = free_port(io);
+  Process process(with_post_class(config_json(port, server, discovery)), "", kSystemLimit);
+  ASSERT_NE(process.read_log_until("ready").find("ready"), std::string::npos);
+  const tcp::endpoint address(asio::ip::address_v4::loopback(), port);
+  std::deque<Client> silent_clients;
+  for (int i = 0; i < kSilentClients; ++i) {
+    silent_clients.emplace_back(io, address);
+  }
+  Client client(io, address);
+  const Micros sent_at = Clock().now();
+  client.send(post_request("t", "1000m"));
+  const auto response = client.receive();
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->result_int(), 200U);
+  EXPECT_LT(Clock().now() - sent_at, kLatestAnswer);
+}
+
+// Guards against an event loop that waits for the reader of its log.
+TEST(GatewayProcess, ALogThatNobodyReadsDoesNotHoldUpRequests) {
+  asio::io_context io;
+  FakeServer server(io);
+  FakeDiscovery discovery(io);
+  const auto port = free_port(io);
+  Process process(config_json(port, server, discovery));
+  ASSERT_NE(process.read_log_until("ready").find("ready"), std::string::npos);
+  process.fill_log();
+  Client client(io, {asio::ip::address_v4::loopback(), port});
+  process.request_reload();  // logs a line
+  client.send(get_request("t"));
+  EXPECT_TRUE(client.receive());
+}
+
 TEST(GatewayProcess, SigtermFinishesRequestsInFlightAndExitsWithSuccess) {
   asio::io_context io;
   FakeServer server(io);
--- a/tests/support/gateway_process.cpp
+++ b/tests/support/gateway_process.cpp
@@ -1,5 +1,6 @@
 #include "support/gateway_process.hpp"
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <poll.h>
 #include <sys/resource.h>
@@ -126,6 +127,15 @@
   return log;
 }
 
+void Process::fill_log() const {
+  const std::string log = "/proc/" + process_id() + "/fd/" + std::to_string(STDERR_FILENO);
+  const int pipe = ::open(log.c_str(), O_WRONLY | O_NONBLOCK);
+  ASSERT_GE(pipe, 0);
+  while (::write(pipe, "\n", 1) == 1) {
+  }
+  ::close(pipe);
+}
+
 void Process::write_configuration(const std::string& config) {
   std::ofstream(config_path_, std::ios::trunc) << config;
 }
--- a/tests/support/gateway_process.hpp
+++ b/tests/support/gateway_process.hpp
@@ -38,6 +38,8 @@
   // Returns what the process has logged since the last call. Does not block. A process whose log is
   // not read blocks once its pipe is full.
   std::string read_available_log() const;
+  // Fills the pipe of the log, which nobody reads then: a log collector that hangs.
+  void fill_log() const;
   // Overwrites the configuration file. The process reads it at the next reload.
   void write_configuration(const std::string& config);
   // Sends SIGHUP, which makes the process reload its configuration.
