--- a/src/net/server/main.cpp
+++ b/src/net/server/main.cpp
@@ -16,6 +16,7 @@
 #include "net/server/config_source.hpp"
 #include "net/server/gateway_server.hpp"
 #include "net/server/signal_handler.hpp"
+#include "net/system_call/descriptor_limit.hpp"
 
 namespace quota_gateway::net {
 namespace {
@@ -45,6 +46,7 @@
   std::optional<HangUpBlock> hang_up_block(std::in_place);
   ConfigFile file = read_config_file();
   GatewayConfig config = make_config(file.tree);
+  config.max_sockets = usable_descriptors(config.max_sockets);
   config.persisted_endpoints = std::move(file.known_endpoints);
   const std::string name = config.name;
   boost::asio::io_context io(1);
