--- a/src/net/server/main.cpp
+++ b/src/net/server/main.cpp
@@ -1,4 +1,6 @@
 // The gateway program: reads its configuration, then serves clients until SIGTERM or SIGINT.
+#include <unistd.h>
+
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <csignal>
@@ -11,6 +13,7 @@
 
 #include "net/config/config_loader.hpp"
 #include "net/event_loop/exception_guard.hpp"
+#include "net/log/async_log.hpp"
 #include "net/memory/system_memory.hpp"
 #include "net/server/config_reloader.hpp"
 #include "net/server/config_source.hpp"
@@ -70,6 +73,7 @@
 
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
+  const quota_gateway::net::AsyncLog log(STDERR_FILENO);
   try {
     quota_gateway::net::serve();
     return 0;
