--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -127,7 +127,7 @@
   }
   const auto evictable = sessions_.find_evictable(last_client_);
   if (evictable) {
-    evictable->close({CloseReason::kIdle});
+    evictable->evict();
   }
   return evictable != nullptr;
 }
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -602,6 +602,14 @@
   }
 }
 
+void ClientSession::evict() {
+  if (may_parse()) {
+    error_code ignored;
+    send_some(socket_, kRejectedWithoutMemory, ignored);
+  }
+  close({CloseReason::kIdle});
+}
+
 void ClientSession::close(const SessionClose& cause) {
   if (is_in(SessionState::kClosed)) {
     return;
--- a/src/net/client/client_session.hpp
+++ b/src/net/client/client_session.hpp
@@ -53,6 +53,9 @@
   // response, and the client may repeat it.
   void close_if_idle();
   void close(const SessionClose& cause);
+  // Closes the session at once to make room for another client. Unless its last response has been
+  // written, its client gets 503: nothing was forwarded for it.
+  void evict();
   // Rejects the request or closes the connection if a time limit has passed.
   void enforce_timeouts(Micros now);
 
--- a/tests/net/server/client_connections_test.cpp
+++ b/tests/net/server/client_connections_test.cpp
@@ -73,6 +73,18 @@
   EXPECT_EQ(response->body().size(), body.size());
 }
 
+// Guards against a request that is reset unseen, its connection being closed for another client.
+TEST_F(ServerClientConnections, AClientThatIsEvictedGetsAResponse) {
+  test_bed.config.max_sockets = 64;  // 24 clients
+  test_bed.start();
+  std::deque<Client> clients;
+  for (int i = 0; i < 40; ++i) {
+    clients.emplace_back(test_bed.io, test_bed.server->address());
+  }
+  EXPECT_EQ(status(clients.front()), 503);
+  EXPECT_TRUE(clients.front().wait_for_close());
+}
+
 TEST_F(ServerClientConnections, AcceptsFragmentedAndPipelinedRequests) {
   test_bed.add_persisted_endpoint(listed_endpoint("s1", server1));
   test_bed.start();
